--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,284 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+
+	"github.com/snipelift/snipelift/configurer"
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/lister"
+	"github.com/snipelift/snipelift/messenger"
+	"github.com/snipelift/snipelift/owner"
+	"github.com/snipelift/snipelift/router"
+	"github.com/snipelift/snipelift/server"
+	"github.com/snipelift/snipelift/storer"
+	"github.com/snipelift/snipelift/tracer"
+)
+
+// Inputs are what an entry is made from.
+type Inputs struct {
+	Settings configurer.Settings
+	// LogOutput is where log lines go.
+	LogOutput io.Writer
+}
+
+const (
+	// stopTimeout bounds a graceful shutdown as a whole.
+	stopTimeout = 30 * time.Second
+	// idleConnections bounds the idle connections to one worker.
+	idleConnections = 4
+	idBytes         = 12
+)
+
+// New returns an entry as an fx application; start and stop it.
+func New(inputs Inputs) *fx.App {
+	return fx.New(
+		fx.NopLogger,
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(inputs, inputs.Settings),
+		fx.Provide(
+			newLogger,
+			newTracer,
+			newHTTPClient,
+			newTable,
+			newObjects,
+			newWorkers,
+			newList,
+			newRouter,
+			newHandler,
+			newDrain,
+			metrics.NewRegistry,
+		),
+		fx.Invoke(runPeerServer, runRouter, runHTTPServer),
+	)
+}
+
+func newLogger(inputs Inputs) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(inputs.Settings.LogLevel)); err != nil {
+		return nil, fmt.Errorf("read log level: %w", err)
+	}
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewJSONHandler(inputs.LogOutput, options)
+	if inputs.Settings.LogFormat == "text" {
+		handler = slog.NewTextHandler(inputs.LogOutput, options)
+	}
+	return slog.New(handler).With("entry", inputs.Settings.Entry, "service", inputs.Settings.Service), nil
+}
+
+func newTracer(lifecycle fx.Lifecycle, settings configurer.Settings) (trace.Tracer, error) {
+	t, cleanUp, err := tracer.New(settings.TraceFile, settings.Entry)
+	if err != nil {
+		return nil, fmt.Errorf("make tracer: %w", err)
+	}
+	lifecycle.Append(fx.Hook{OnStop: cleanUp})
+	return t, nil
+}
+
+func newHTTPClient(lifecycle fx.Lifecycle) *http.Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
+		transport.CloseIdleConnections()
+		return nil
+	}})
+	return &http.Client{Transport: transport}
+}
+
+func provider(p configurer.Platform) aws.CredentialsProvider {
+	if p.AccessKeyID == "" {
+		return aws.AnonymousCredentials{}
+	}
+	return credentials.NewStaticCredentialsProvider(p.AccessKeyID, p.SecretAccessKey, "")
+}
+
+func newTable(settings configurer.Settings, client *http.Client) storer.Table {
+	return storer.NewDynamo(storer.DynamoOptions{
+		Endpoint:    settings.Platform.TableURL,
+		Region:      settings.Platform.Region,
+		Table:       settings.Platform.Table,
+		Service:     settings.Service,
+		Credentials: provider(settings.Platform),
+		HTTPClient:  client,
+		Timeout:     settings.Platform.Timeout(),
+	})
+}
+
+func newObjects(settings configurer.Settings, client *http.Client) storer.Objects {
+	return storer.NewS3(storer.S3Options{
+		Endpoint:    settings.Platform.ObjectURL,
+		Region:      settings.Platform.Region,
+		Bucket:      settings.Platform.Bucket,
+		Credentials: provider(settings.Platform),
+		HTTPClient:  client,
+		Timeout:     settings.Platform.Timeout(),
+	})
+}
+
+func newWorkers(client *http.Client) dispatcher.Client { return dispatcher.NewHTTP(client) }
+
+func newList(settings configurer.Settings, client *http.Client) lister.List {
+	return lister.NewHTTP(client, settings.Platform.ListURL)
+}
+
+// newID returns an ID that nobody else has.
+func newID() string {
+	var id [idBytes]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+func newRouter(settings configurer.Settings, table storer.Table, objects storer.Objects, workers dispatcher.Client, list lister.List, logger *slog.Logger, t trace.Tracer) *router.Router {
+	return router.New(router.Options{
+		Entry:       settings.Entry,
+		Incarnation: newID(),
+		Zone:        settings.Zone,
+		Address:     settings.PeerAddress,
+		Dial:        messenger.DialTCP,
+		Table:       table,
+		Objects:     objects,
+		Workers:     workers,
+		List:        list,
+		Random:      mathrand.Float64,
+		NewID:       newID,
+		Checked:     settings.CheckInvariants,
+		Logger:      logger,
+		Tracer:      owner.Tracer{Tracer: t},
+	})
+}
+
+// drain is closed when waiting requests must be answered.
+type drain chan struct{}
+
+func newDrain() drain { return make(drain) }
+
+func newHandler(settings configurer.Settings, r *router.Router, objects storer.Objects, logger *slog.Logger, t trace.Tracer, registry metrics.Registry, d drain) http.Handler {
+	return server.NewHandler(server.Options{
+		Service: server.Service{
+			Submit:   r.Submit,
+			Wait:     r.Wait,
+			Cancel:   r.Cancel,
+			View:     r.View,
+			Result:   objects.Get,
+			Ready:    r.Ready,
+			Self:     r.Self,
+			Entries:  r.Entries,
+			Document: r.Document(),
+			Draining: d,
+		},
+		Keys: server.Keys{
+			Required:       settings.Callers == configurer.CallersKeys,
+			OperatorSHA256: settings.OperatorKeySHA256,
+			Document:       func() documenter.Document { return currentDocument(r) },
+		},
+		Logger:   logger,
+		Tracer:   t,
+		Registry: registry,
+	})
+}
+
+func currentDocument(r *router.Router) documenter.Document {
+	v, err := r.Document().Current()
+	if err != nil {
+		return documenter.Document{}
+	}
+	return v.Document
+}
+
+func runPeerServer(lifecycle fx.Lifecycle, settings configurer.Settings, r *router.Router) {
+	var cleanUp func()
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			listener, err := listen(ctx, settings.PeerAddress)
+			if err != nil {
+				return err
+			}
+			cleanUp = messenger.Serve(listener, r.Handlers())
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cleanUp()
+			return nil
+		},
+	})
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+func runRouter(lifecycle fx.Lifecycle, r *router.Router) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			tasks.Go(func() { r.Run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			tasks.Wait()
+			return nil
+		},
+	})
+}
+
+// runHTTPServer serves callers; at the stop it is not ready at once, serves on until the balancer has noticed, then answers all requests in hand.
+func runHTTPServer(lifecycle fx.Lifecycle, settings configurer.Settings, handler http.Handler, r *router.Router, d drain, logger *slog.Logger) {
+	httpServer := server.NewHTTPServer(handler)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			listener, err := listen(ctx, settings.HTTPAddress)
+			if err != nil {
+				return err
+			}
+			logger.Info("serving", "address", settings.HTTPAddress)
+			go func() { _ = httpServer.Serve(listener) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			r.Drain()
+			logger.Info("draining")
+			waitFor(ctx, settings.Drain())
+			close(d)
+			if err := httpServer.Shutdown(ctx); err != nil {
+				return fmt.Errorf("shut down: %w", err)
+			}
+			return nil
+		},
+	})
+}
+
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,172 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/server"
+)
+
+var (
+	// ErrNotRun means that the request was refused and that the work surely did not run.
+	ErrNotRun = errors.New("refused, not run")
+	// ErrUnknown means that the work may have run.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrRefused means that the entry did not do what was asked.
+	ErrRefused = errors.New("refused")
+)
+
+// Client calls one entry, or the balancer before all of them.
+type Client struct {
+	// Base is the URL of the entry, as in http://10.0.0.1:8080.
+	Base string
+	// Organisation is who the requests act for, where callers are trusted.
+	Organisation string
+	// Key is the caller's or operator's key, where keys are needed.
+	Key  string
+	HTTP *http.Client
+}
+
+const (
+	maxAnswerBytes = 64 << 20
+	// grace is added to the wait of a request before it is given up.
+	grace = 15 * time.Second
+)
+
+// Document is a version of the service's document.
+type Document struct {
+	Version int64
+	Text    []byte
+}
+
+// Submit sends a job under an idempotency key and waits for its answer for a while.
+func (c Client) Submit(ctx context.Context, key string, request server.SubmitRequest, wait time.Duration) (server.Job, error) {
+	var job server.Job
+	body, err := json.Marshal(request)
+	if err != nil {
+		return job, fmt.Errorf("encode request: %w", err)
+	}
+	header := http.Header{
+		server.HeaderIdempotencyKey: {key},
+		"Prefer":                    {"wait=" + seconds(wait)},
+	}
+	_, err = c.do(ctx, http.MethodPost, "/v1/jobs", header, body, wait, &job)
+	return job, err
+}
+
+// Get waits for the answer of a job for a while.
+func (c Client) Get(ctx context.Context, id string, wait time.Duration) (server.Job, error) {
+	var job server.Job
+	_, err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"?waitSeconds="+seconds(wait), nil, nil, wait, &job)
+	return job, err
+}
+
+// Cancel asks for the end of a job and returns what became of it.
+func (c Client) Cancel(ctx context.Context, id string) (server.Job, error) {
+	var job server.Job
+	_, err := c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil, nil, 0, &job)
+	return job, err
+}
+
+// Explain returns the reasons of what happened to a job.
+func (c Client) Explain(ctx context.Context, id string) (server.Explanation, error) {
+	var e server.Explanation
+	_, err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explanation", nil, nil, 0, &e)
+	return e, err
+}
+
+// Status returns the state of the service.
+func (c Client) Status(ctx context.Context) (server.Status, error) {
+	var status server.Status
+	_, err := c.do(ctx, http.MethodGet, "/v1/status", nil, nil, 0, &status)
+	return status, err
+}
+
+// GetDocument returns the document in force.
+func (c Client) GetDocument(ctx context.Context) (Document, error) {
+	var text json.RawMessage
+	header, err := c.do(ctx, http.MethodGet, "/v1/document", nil, nil, 0, &text)
+	if err != nil {
+		return Document{}, err
+	}
+	version, err := strconv.ParseInt(strings.Trim(header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return Document{}, fmt.Errorf("read version: %w", err)
+	}
+	return Document{Version: version, Text: text}, nil
+}
+
+// PutDocument makes an edit of version base the next version; base 0 asks for a first document.
+func (c Client) PutDocument(ctx context.Context, base int64, text []byte, editID, editor string) (int64, error) {
+	header := http.Header{server.HeaderEditID: {editID}, server.HeaderEditor: {editor}}
+	if base == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", `"`+strconv.FormatInt(base, 10)+`"`)
+	}
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	_, err := c.do(ctx, http.MethodPut, "/v1/document", header, text, 0, &answer)
+	return answer.Version, err
+}
+
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
+func (c Client) do(ctx context.Context, method, path string, header http.Header, body []byte, wait time.Duration, into any) (http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set(server.HeaderOrganisation, c.Organisation)
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: answer cut short: %w", ErrUnknown, err)
+	}
+	if response.Header.Get("Content-Type") == server.ContentTypeProblem || response.StatusCode >= http.StatusBadRequest {
+		return response.Header, problemOf(response.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return nil, fmt.Errorf("%w: decode answer: %w", ErrUnknown, err)
+	}
+	return response.Header, nil
+}
+
+func problemOf(status int, data []byte) error {
+	var p server.Problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		return fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	switch p.Ran {
+	case scheduler.NotRun:
+		return fmt.Errorf("%w: %s", ErrNotRun, p.Detail)
+	case scheduler.RanUnknown, scheduler.DidRun:
+		return fmt.Errorf("%w: %s", ErrUnknown, p.Detail)
+	}
+	return fmt.Errorf("%w (status %d): %s", ErrRefused, status, p.Detail)
+}
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is a client of the HTTP interface of an entry.
+package caller
--- /dev/null
+++ b/commands/doc.go
@@ -0,0 +1,2 @@
+// Package commands holds the subcommands of snipelift, one file each.
+package commands
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,43 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/snipelift/snipelift/assembler"
+	"github.com/snipelift/snipelift/configurer"
+)
+
+func newServe() command {
+	sub := flaggy.NewSubcommand("serve")
+	sub.Description = "run the process of an entry VM"
+	var path string
+	sub.String(&path, "s", "settings", "file with the settings, JSON")
+	return command{sub: sub, run: func(ctx context.Context, c console) (int, error) {
+		if path == "" {
+			return 0, fmt.Errorf("%w: serve needs --settings FILE", errUsage)
+		}
+		settings, err := configurer.Load(path)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", errUsage, err)
+		}
+		return serve(ctx, c, settings)
+	}}
+}
+
+// serve runs the entry until it is told to stop.
+func serve(ctx context.Context, c console, settings configurer.Settings) (int, error) {
+	app := assembler.New(assembler.Inputs{Settings: settings, LogOutput: c.err})
+	if err := app.Start(ctx); err != nil {
+		return 0, fmt.Errorf("start: %w", err)
+	}
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(stop); err != nil {
+		return 0, fmt.Errorf("stop: %w", err)
+	}
+	return ExitDone, nil
+}
--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer decodes and checks the settings of one process.
+package configurer
--- /dev/null
+++ b/configurer/settings.go
@@ -0,0 +1,223 @@
+package configurer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// ErrInvalid is wrapped by every refusal of settings.
+var ErrInvalid = errors.New("settings refused")
+
+// Settings are those of one entry; every key but entry, zone, service, and the addresses has a default.
+type Settings struct {
+	// Entry is the ID of this VM.
+	Entry string `json:"entry"`
+	// Zone is the availability zone of this VM.
+	Zone string `json:"zone"`
+	// Service names the service whose document and jobs this entry handles.
+	Service string `json:"service"`
+	// HTTPAddress is where callers and operators reach this entry, as IP:port.
+	HTTPAddress string `json:"httpAddress"`
+	// PeerAddress is where other entries reach this one, as IP:port.
+	PeerAddress string   `json:"peerAddress"`
+	Platform    Platform `json:"platform"`
+	// Callers is "trusted" (the default), where requests name their organisation, or "keys".
+	Callers string `json:"callers"`
+	// OperatorKeySHA256 is the hash, in hex, of the key that may change the document when callers is "keys".
+	OperatorKeySHA256 string `json:"operatorKeySha256,omitempty"`
+	// LogFormat is "json" (the default) or "text".
+	LogFormat string `json:"logFormat"`
+	// LogLevel is "debug", "info" (the default), "warn" or "error".
+	LogLevel string `json:"logLevel"`
+	// TraceFile is where spans are written as JSON lines; empty writes none.
+	TraceFile string `json:"traceFile,omitempty"`
+	// DrainMillis is how long the entry goes on serving after it has become not ready; the default is 2000.
+	DrainMillis int `json:"drainMillis"`
+	// CheckInvariants stops the process at the first broken invariant; the default is false.
+	CheckInvariants bool `json:"checkInvariants,omitempty"`
+}
+
+// Platform says where the table service, the object store and the VM list are.
+type Platform struct {
+	// TableURL, ObjectURL and ListURL have IP numbers for hosts.
+	TableURL  string `json:"tableUrl"`
+	ObjectURL string `json:"objectUrl"`
+	ListURL   string `json:"listUrl"`
+	// Table and Bucket default to "snipelift".
+	Table  string `json:"table"`
+	Bucket string `json:"bucket"`
+	// Region defaults to "local".
+	Region string `json:"region"`
+	// TimeoutMillis bounds one request; the default is 1500.
+	TimeoutMillis int `json:"timeoutMillis"`
+	// AccessKeyID and SecretAccessKey sign requests; without them requests are not signed.
+	AccessKeyID     string `json:"accessKeyId,omitempty"`
+	SecretAccessKey string `json:"secretAccessKey,omitempty"`
+}
+
+const (
+	// CallersTrusted lets requests name their organisation.
+	CallersTrusted = "trusted"
+	// CallersKeys finds the organisation by the hash of the caller's key.
+	CallersKeys = "keys"
+
+	defaultDrainMillis   = 2000
+	defaultTimeoutMillis = 1500
+	maxMillis            = 60_000
+	maxSettingsBytes     = 1 << 20
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Timeout returns the bound on one request to the platform.
+func (p Platform) Timeout() time.Duration { return time.Duration(p.TimeoutMillis) * time.Millisecond }
+
+// Drain returns how long the entry goes on serving after it has become not ready.
+func (s Settings) Drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
+
+// Load reads, completes and checks the settings in a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return Decode(data)
+}
+
+// Decode parses settings; the error wraps ErrInvalid and names the key, its value and what is accepted.
+func Decode(data []byte) (Settings, error) {
+	if len(data) > maxSettingsBytes {
+		return Settings{}, fmt.Errorf("%w: %d bytes, at most %d are accepted", ErrInvalid, len(data), maxSettingsBytes)
+	}
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("%w: %s", ErrInvalid, explain(err))
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Settings{}, fmt.Errorf("%w: text after the settings' end", ErrInvalid)
+	}
+	s = s.WithDefaults()
+	return s, s.Validate()
+}
+
+// explain names the key, the value and the accepted type of a value of the wrong type.
+func explain(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf("%s: a %s, accepted is a value of type %s", wrong.Field, wrong.Value, wrong.Type)
+	}
+	return strings.TrimPrefix(err.Error(), "json: ")
+}
+
+// WithDefaults returns the settings with empty values replaced by their defaults.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Callers, CallersTrusted)
+	setDefault(&s.LogFormat, "json")
+	setDefault(&s.LogLevel, "info")
+	setDefault(&s.DrainMillis, defaultDrainMillis)
+	setDefault(&s.Platform.Table, "snipelift")
+	setDefault(&s.Platform.Bucket, "snipelift")
+	setDefault(&s.Platform.Region, "local")
+	setDefault(&s.Platform.TimeoutMillis, defaultTimeoutMillis)
+	return s
+}
+
+func setDefault[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Validate returns an error that wraps ErrInvalid for the first value that is out of range.
+func (s Settings) Validate() error {
+	checks := []error{
+		checkName("entry", s.Entry),
+		checkName("zone", s.Zone),
+		checkName("service", s.Service),
+		checkAddress("httpAddress", s.HTTPAddress),
+		checkAddress("peerAddress", s.PeerAddress),
+		checkURL("platform.tableUrl", s.Platform.TableURL),
+		checkURL("platform.objectUrl", s.Platform.ObjectURL),
+		checkURL("platform.listUrl", s.Platform.ListURL),
+		checkName("platform.table", s.Platform.Table),
+		checkName("platform.bucket", s.Platform.Bucket),
+		checkRange("platform.timeoutMillis", s.Platform.TimeoutMillis, 1, maxMillis),
+		checkOneOf("callers", s.Callers, CallersTrusted, CallersKeys),
+		checkOneOf("logFormat", s.LogFormat, "json", "text"),
+		checkOneOf("logLevel", s.LogLevel, "debug", "info", "warn", "error"),
+		checkRange("drainMillis", s.DrainMillis, 1, maxMillis),
+		s.checkOperatorKey(),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkOperatorKey() error {
+	if s.OperatorKeySHA256 == "" && s.Callers == CallersTrusted {
+		return nil
+	}
+	if !hashPattern.MatchString(s.OperatorKeySHA256) {
+		return errors.New("operatorKeySha256: accepted are 64 lower-case hex digits, needed when callers is \"keys\"")
+	}
+	return nil
+}
+
+func checkName(key, value string) error {
+	if !namePattern.MatchString(value) {
+		return fmt.Errorf("%s: %q, accepted are letters, digits, dots, dashes and underscores, 1 to 63", key, value)
+	}
+	return nil
+}
+
+func checkAddress(key, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("%s: %q, accepted is an IP number and a port, as in 10.0.0.1:8080", key, value)
+	}
+	return nil
+}
+
+func checkURL(key, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("%s: %q, accepted is an http or https URL", key, value)
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		return fmt.Errorf("%s: %q, accepted is an IP number as host, as in http://10.0.0.1:8000", key, value)
+	}
+	return nil
+}
+
+func checkRange(key string, value, low, high int) error {
+	if value < low || value > high {
+		return fmt.Errorf("%s: %d, accepted are %d to %d", key, value, low, high)
+	}
+	return nil
+}
+
+func checkOneOf(key, value string, accepted ...string) error {
+	for _, a := range accepted {
+		if value == a {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s: %q, accepted are %s", key, value, strings.Join(accepted, ", "))
+}
--- /dev/null
+++ b/documenter/decode.go
@@ -0,0 +1,204 @@
+package documenter
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+
+	"github.com/snipelift/snipelift/packer"
+)
+
+const (
+	// MaxBytes is the largest accepted document.
+	MaxBytes = 256 << 10
+	// maxWorkers bounds the fleet that a document may describe.
+	maxWorkers = 10_000
+	// maxQueued bounds the queue of one organisation in one class.
+	maxQueued = 100_000
+	// maxStartWithinSeconds bounds the start of a class that calls itself urgent.
+	maxStartWithinSeconds = 3600
+)
+
+// ErrInvalid is wrapped by every refusal of a document.
+var ErrInvalid = errors.New("document refused")
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Decode parses and checks a document; the error wraps ErrInvalid and names the path of the key and the reason.
+func Decode(data []byte) (Document, error) {
+	var d Document
+	if len(data) > MaxBytes {
+		return d, fmt.Errorf("%w: %d bytes, at most %d are accepted", ErrInvalid, len(data), MaxBytes)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return Document{}, fmt.Errorf("%w: %s", ErrInvalid, strings.TrimPrefix(err.Error(), "json: "))
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Document{}, fmt.Errorf("%w: text after the document's end", ErrInvalid)
+	}
+	return d, d.Validate()
+}
+
+// Validate returns an error that wraps ErrInvalid unless the document can be put in force.
+func (d Document) Validate() error {
+	checks := []func() error{
+		d.validateService,
+		d.validateWorkers,
+		d.validateClasses,
+		d.validateOrganisations,
+		d.validatePacking,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
+	}
+	return nil
+}
+
+func (d Document) validateService() error { return validateName("service", d.Service) }
+
+func (d Document) validateWorkers() error {
+	if len(d.Workers) == 0 {
+		return errors.New("workers: at least one group is needed")
+	}
+	total := 0
+	for i, g := range d.Workers {
+		path := fmt.Sprintf("workers[%d]", i)
+		if err := validateName(path+".zone", g.Zone); err != nil {
+			return err
+		}
+		if g.Racks < 1 || g.Racks > maxWorkers {
+			return fmt.Errorf("%s.racks: %d, accepted are 1 to %d", path, g.Racks, maxWorkers)
+		}
+		if g.WorkersPerRack < 1 || g.WorkersPerRack > maxWorkers {
+			return fmt.Errorf("%s.workersPerRack: %d, accepted are 1 to %d", path, g.WorkersPerRack, maxWorkers)
+		}
+		if g.Accelerators < 0 || g.Accelerators > 64 {
+			return fmt.Errorf("%s.accelerators: %d, accepted are 0 to 64", path, g.Accelerators)
+		}
+		total += g.Racks * g.WorkersPerRack
+	}
+	if total > maxWorkers {
+		return fmt.Errorf("workers: %d in all, accepted are 1 to %d", total, maxWorkers)
+	}
+	return nil
+}
+
+func (d Document) validateClasses() error {
+	if len(d.Classes) == 0 {
+		return errors.New("classes: at least one class is needed")
+	}
+	seen := map[string]bool{}
+	for i, c := range d.Classes {
+		path := fmt.Sprintf("classes[%d]", i)
+		if err := validateName(path+".name", c.Name); err != nil {
+			return err
+		}
+		if seen[c.Name] {
+			return fmt.Errorf("%s.name: %q is there twice", path, c.Name)
+		}
+		seen[c.Name] = true
+		if err := c.validate(path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c Class) validate(path string) error {
+	switch {
+	case c.StartWithinSeconds < 0 || c.StartWithinSeconds > maxStartWithinSeconds:
+		return fmt.Errorf("%s.startWithinSeconds: %d, accepted are 0 (not urgent) to %d", path, c.StartWithinSeconds, maxStartWithinSeconds)
+	case c.Borrows && !c.Reclaimable():
+		return fmt.Errorf("%s.borrows: work that can be neither checkpointed nor repeated cannot be moved off lent accelerators; set borrows to false, or checkpointable or idempotent to true", path)
+	case c.Limits.Queued < 1 || c.Limits.Queued > maxQueued:
+		return fmt.Errorf("%s.limits.queued: %d, accepted are 1 to %d", path, c.Limits.Queued, maxQueued)
+	case c.Limits.Retries < 0 || c.Limits.Retries > 10:
+		return fmt.Errorf("%s.limits.retries: %d, accepted are 0 to 10", path, c.Limits.Retries)
+	case c.Limits.Retries > 0 && !c.Idempotent:
+		return fmt.Errorf("%s.limits.retries: %d, but work that is not idempotent is never repeated; set it to 0", path, c.Limits.Retries)
+	case c.Limits.RunSeconds < 1:
+		return fmt.Errorf("%s.limits.runSeconds: %d, accepted are 1 and more", path, c.Limits.RunSeconds)
+	}
+	return nil
+}
+
+func (d Document) validateOrganisations() error {
+	if len(d.Organisations) == 0 {
+		return errors.New("organisations: at least one organisation is needed")
+	}
+	seen := map[string]bool{}
+	for i, o := range d.Organisations {
+		path := fmt.Sprintf("organisations[%d]", i)
+		if err := validateName(path+".name", o.Name); err != nil {
+			return err
+		}
+		if seen[o.Name] {
+			return fmt.Errorf("%s.name: %q is there twice", path, o.Name)
+		}
+		seen[o.Name] = true
+		if err := o.validateGuarantees(path, d.Unit()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o Organisation) validateGuarantees(path string, unit int) error {
+	for i, g := range o.Guarantees {
+		at := fmt.Sprintf("%s.guarantees[%d]", path, i)
+		if g.Accelerators < 1 {
+			return fmt.Errorf("%s.accelerators: %d, accepted are 1 and more", at, g.Accelerators)
+		}
+		if err := g.Validate(unit); err != nil {
+			return fmt.Errorf("%s: %w", at, err)
+		}
+		if g.Count < 1 || g.Count > maxWorkers {
+			return fmt.Errorf("%s.count: %d, accepted are 1 to %d", at, g.Count, maxWorkers)
+		}
+	}
+	return nil
+}
+
+// validatePacking adds guarantee after guarantee and names the first that no longer fits.
+func (d Document) validatePacking() error {
+	ledger := d.ledger()
+	for i, o := range d.Organisations {
+		for k, g := range o.Guarantees {
+			ledger.Demand(g.Shape, g.Count)
+			if !ledger.Packs() {
+				return fmt.Errorf("organisations[%d].guarantees[%d]: %d times %s for %s does not pack onto the workers beside the guarantees before it", i, k, g.Count, g.Shape, o.Name)
+			}
+		}
+	}
+	return nil
+}
+
+func (d Document) ledger() *packer.Ledger {
+	ledger := packer.NewLedger(d.Unit())
+	worker, rack := 0, 0
+	for _, g := range d.Workers {
+		for range g.Racks {
+			for range g.WorkersPerRack {
+				ledger.AddWorker(worker, rack, g.Accelerators)
+				worker++
+			}
+			rack++
+		}
+	}
+	return ledger
+}
+
+func validateName(path, name string) error {
+	if !namePattern.MatchString(name) {
+		return fmt.Errorf("%s: %q, accepted are lower-case letters, digits and dashes, 63 at most", path, name)
+	}
+	return nil
+}
--- /dev/null
+++ b/documenter/doc.go
@@ -0,0 +1,2 @@
+// Package documenter decodes, checks and describes the one document that an operator writes for a service.
+package documenter
--- /dev/null
+++ b/faker/table.go
@@ -0,0 +1,118 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/snipelift/snipelift/storer"
+)
+
+// Table is a transactional table in memory.
+type Table struct {
+	faultBox
+	mu     sync.Mutex
+	rows   map[string]storer.Row
+	reads  int
+	writes int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{rows: map[string]storer.Row{}} }
+
+// Counts returns how many rows were read and written so far.
+func (t *Table) Counts() (reads, writes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+// Client returns the table as its users see it, in process.
+func (t *Table) Client() storer.Table {
+	return storer.Table{Read: t.Read, Range: t.Range, Write: t.Write}
+}
+
+// Read returns the row.
+func (t *Table) Read(ctx context.Context, key string) (storer.Row, error) {
+	if err := t.admit(ctx); err != nil {
+		return storer.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	row, ok := t.rows[key]
+	if !ok {
+		return row, storer.ErrNotFound
+	}
+	return row, nil
+}
+
+// Range returns the rows whose keys start with prefix.
+func (t *Table) Range(ctx context.Context, prefix string) ([]storer.Row, error) {
+	if err := t.admit(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []storer.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	t.reads += max(1, len(list))
+	slices.SortFunc(list, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
+	return list, nil
+}
+
+// Write applies all changes or none.
+func (t *Table) Write(ctx context.Context, writeID string, changes []storer.Change) error {
+	if err := t.admit(ctx); err != nil {
+		if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("%w: %w", storer.ErrOutcomeUnknown, err)
+		}
+		return err
+	}
+	if err := t.apply(writeID, changes); err != nil {
+		return err
+	}
+	if t.loseReply() {
+		return fmt.Errorf("%w: reply lost", storer.ErrOutcomeUnknown)
+	}
+	return nil
+}
+
+func (t *Table) admit(ctx context.Context) error {
+	if err := t.wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, err)
+	}
+	if t.Get().Down {
+		return fmt.Errorf("%w: told to be down", storer.ErrUnavailable)
+	}
+	return nil
+}
+
+func (t *Table) apply(writeID string, changes []storer.Change) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes += len(changes)
+	for _, c := range changes {
+		if c.Expect != storer.AnyVersion && t.rows[c.Key].Version != c.Expect {
+			return fmt.Errorf("%w: %s is at version %d, expected %d", storer.ErrConflict, c.Key, t.rows[c.Key].Version, c.Expect)
+		}
+	}
+	for _, c := range changes {
+		switch {
+		case c.CheckOnly:
+		case c.Delete:
+			delete(t.rows, c.Key)
+		default:
+			version := max(c.Expect, 0) + 1
+			t.rows[c.Key] = storer.Row{Key: c.Key, Version: version, WriteID: writeID, Value: slices.Clone(c.Value)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lister/doc.go
@@ -0,0 +1,2 @@
+// Package lister reads the platform's lagging list of VMs.
+package lister
--- /dev/null
+++ b/owner/accept.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/snipelift/snipelift/recorder"
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/storer"
+)
+
+// Admission says what became of a submission.
+type Admission struct {
+	// Accepted means that the job is recorded and will have an answer.
+	Accepted bool `json:"accepted"`
+	// Unrecorded means that the job will run at once without a record, since the table is away.
+	Unrecorded bool `json:"unrecorded,omitempty"`
+	// Unknown means that the job may or may not have been recorded.
+	Unknown bool `json:"unknown,omitempty"`
+	// KeyReused means that the idempotency key belongs to a different request.
+	KeyReused bool `json:"keyReused,omitempty"`
+	// Reason and RetryAfter tell why the job was refused; it did not run.
+	Reason     scheduler.Reason `json:"reason,omitzero"`
+	RetryAfter time.Duration    `json:"retryAfter,omitempty"`
+}
+
+// retryAfterOutage is what a caller is told to wait while the table is away.
+const retryAfterOutage = 5 * time.Second
+
+type accepting struct {
+	fingerprint string
+	done        chan struct{}
+	admission   Admission
+}
+
+// Submit admits a job, records it and gives it to the scheduler; it may be repeated.
+func (o *Owner) Submit(ctx context.Context, record recorder.Open) (Admission, error) {
+	var pending *accepting
+	var decided *Admission
+	err := o.do(ctx, func() { pending, decided = o.beginAccept(record) })
+	if err != nil {
+		return Admission{}, err
+	}
+	if decided != nil {
+		return *decided, nil
+	}
+	select {
+	case <-pending.done:
+		return pending.admission, nil
+	case <-ctx.Done():
+		return Admission{Unknown: true}, nil
+	case <-o.ctx.Done():
+		return Admission{Unknown: true}, nil
+	}
+}
+
+// beginAccept decides at once where it can, else starts to record the job.
+func (o *Owner) beginAccept(record recorder.Open) (*accepting, *Admission) {
+	id := record.Job.ID
+	if t := o.jobs[id]; t != nil {
+		return nil, o.admissionOf(t.record.Fingerprint, record)
+	}
+	if answer, ok := o.answers.get(id); ok {
+		return nil, o.admissionOf(answer.Fingerprint, record)
+	}
+	if pending := o.accepting[id]; pending != nil {
+		if pending.fingerprint != record.Fingerprint {
+			return nil, &Admission{KeyReused: true}
+		}
+		return pending, nil
+	}
+	if refusal, ok := o.scheduler.Refusal(time.Now(), record.Job); ok {
+		o.counts.Refused++
+		return nil, &Admission{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	}
+	pending := &accepting{fingerprint: record.Fingerprint, done: make(chan struct{})}
+	o.accepting[id] = pending
+	traits := o.traitsOf(record.Job.Class)
+	o.spawn(func(ctx context.Context) { o.record(ctx, record, traits, pending) })
+	return pending, nil
+}
+
+func (o *Owner) traitsOf(name string) classTraits {
+	class, _, _ := o.scheduler.Document().Class(name)
+	return classTraits{idempotent: class.Idempotent, urgent: class.Urgent()}
+}
+
+func (o *Owner) admissionOf(fingerprint string, record recorder.Open) *Admission {
+	if fingerprint != record.Fingerprint {
+		return &Admission{KeyReused: true}
+	}
+	return &Admission{Accepted: true}
+}
+
+// record writes the open row, unless the job is already known there.
+func (o *Owner) record(ctx context.Context, record recorder.Open, traits classTraits, pending *accepting) {
+	err := o.writer.write(ctx, []storer.Change{
+		{Key: recorder.DoneKey(record.Job.ID), Expect: 0, CheckOnly: true},
+		{Key: recorder.OpenKey(record.Job.ID), Expect: 0, Value: recorder.Encode(record)},
+	})
+	version := int64(1)
+	var known *recorder.Answer
+	if errors.Is(err, storer.ErrConflict) {
+		record, version, known, err = o.readKnown(ctx, record)
+	}
+	o.post(func() {
+		o.finishAccept(record, traits, version, known, err, pending)
+	})
+}
+
+// readKnown finds the row that stood in the way of a new one.
+func (o *Owner) readKnown(ctx context.Context, record recorder.Open) (recorder.Open, int64, *recorder.Answer, error) {
+	id := record.Job.ID
+	row, err := o.options.Table.Read(ctx, recorder.DoneKey(id))
+	if err == nil {
+		answer, err := recorder.Decode[recorder.Answer](row)
+		return record, 0, &answer, err
+	}
+	row, err = o.options.Table.Read(ctx, recorder.OpenKey(id))
+	if err != nil {
+		return record, 0, nil, fmt.Errorf("%w: read back: %w", storer.ErrOutcomeUnknown, err)
+	}
+	known, err := recorder.Decode[recorder.Open](row)
+	if err == nil && known.Fingerprint != record.Fingerprint {
+		return known, row.Version, nil, ErrKeyReused
+	}
+	return known, row.Version, nil, err
+}
+
+func (o *Owner) finishAccept(record recorder.Open, traits classTraits, version int64, known *recorder.Answer, err error, pending *accepting) {
+	delete(o.accepting, record.Job.ID)
+	defer close(pending.done)
+	switch {
+	case known != nil:
+		o.answers.put(*known)
+		pending.admission = *o.admissionOf(known.Fingerprint, recorder.Open{Fingerprint: pending.fingerprint})
+	case err == nil:
+		pending.admission = Admission{Accepted: true}
+		o.take(record, traits, version, scheduler.JobSubmitted{Job: record.Job, Recorded: true})
+	case errors.Is(err, ErrKeyReused):
+		pending.admission = Admission{KeyReused: true}
+	case traits.idempotent && traits.urgent:
+		pending.admission = Admission{Unrecorded: true}
+		o.take(record, traits, 0, scheduler.JobSubmitted{Job: record.Job, Recorded: true})
+	case errors.Is(err, storer.ErrUnavailable):
+		pending.admission = Admission{Reason: scheduler.Reason{Rule: scheduler.RuleStoreAway}, RetryAfter: retryAfterOutage}
+	default:
+		pending.admission = Admission{Unknown: true}
+	}
+}
+
+// take starts to track a job and tells the scheduler of it.
+func (o *Owner) take(record recorder.Open, traits classTraits, version int64, event scheduler.JobSubmitted) {
+	o.counts.Accepted++
+	o.jobs[record.Job.ID] = newTracked(record, traits, version)
+	o.apply(event)
+}
--- /dev/null
+++ b/owner/answer.go
@@ -0,0 +1,239 @@
+package owner
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/recorder"
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/storer"
+)
+
+const (
+	// answerCacheSize is the number of answers kept in memory.
+	answerCacheSize = 4096
+	// firstCommitPause and maxCommitPause bound the time between tries to record an answer.
+	firstCommitPause = 200 * time.Millisecond
+	maxCommitPause   = 5 * time.Second
+)
+
+// answerCache keeps the latest answers; the table has them all.
+type answerCache struct {
+	size  int
+	byID  map[string]recorder.Answer
+	order []string
+}
+
+func newAnswerCache(size int) *answerCache {
+	return &answerCache{size: size, byID: map[string]recorder.Answer{}}
+}
+
+func (c *answerCache) get(id string) (recorder.Answer, bool) {
+	answer, ok := c.byID[id]
+	return answer, ok
+}
+
+func (c *answerCache) put(answer recorder.Answer) {
+	if _, ok := c.byID[answer.Job.ID]; ok {
+		return
+	}
+	c.byID[answer.Job.ID] = answer
+	c.order = append(c.order, answer.Job.ID)
+	if len(c.order) > c.size {
+		delete(c.byID, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// whole reports whether a result arrived as the worker sent it.
+func whole(s dispatcher.Status) bool {
+	sum := sha256.Sum256(s.Result)
+	return s.Digest == hex.EncodeToString(sum[:])
+}
+
+// conclude turns the end of a job into its answer and has it recorded.
+func (o *Owner) conclude(now time.Time, d scheduler.Ended) {
+	t := o.jobs[d.ID]
+	if t == nil {
+		return
+	}
+	answer := recorder.Answer{
+		Job:         t.record.Job,
+		Fingerprint: t.record.Fingerprint,
+		Outcome:     d.Outcome,
+		Ran:         d.Ran,
+		Reason:      d.Reason,
+		Members:     t.record.Members,
+		Started:     t.startedAt,
+		Finished:    now,
+		Notes:       t.record.Notes,
+	}
+	if t.attempt != nil {
+		addResult(&answer, t.attempt)
+	}
+	t.answer = &answer
+	traits := t.traits(o.scheduler)
+	if t.version == 0 && traits.idempotent && traits.urgent {
+		o.publish(answer)
+	}
+	o.options.Logger.Info("job ended",
+		"job", d.ID,
+		"attempt", t.record.Attempt,
+		"organisation", t.record.Job.Organisation,
+		"epoch", o.options.Epoch,
+		"outcome", string(d.Outcome),
+		"why", d.Reason.Sentence(),
+	)
+	o.spawn(func(ctx context.Context) { o.commit(ctx, answer) })
+}
+
+func addResult(answer *recorder.Answer, a *attempt) {
+	for i, s := range a.statuses {
+		if s.Error != "" {
+			answer.Error = s.Error
+		}
+		if i == 0 && answer.Outcome == scheduler.OutcomeSucceeded {
+			answer.Result = s.Result
+			answer.Digest = s.Digest
+		}
+	}
+}
+
+// commit records the answer, however long that takes, and then tells it; what was recorded first is the answer.
+func (o *Owner) commit(ctx context.Context, answer recorder.Answer) {
+	pause := firstCommitPause
+	for ctx.Err() == nil {
+		recorded, err := o.commitOnce(ctx, answer)
+		if err == nil {
+			o.post(func() { o.publish(recorded) })
+			return
+		}
+		o.options.Logger.Debug("answer not recorded yet", "job", answer.Job.ID, "error", err)
+		sleep(ctx, time.Duration(float64(pause)*(0.5+o.options.Random())))
+		pause = min(pause*2, maxCommitPause)
+	}
+}
+
+func (o *Owner) commitOnce(ctx context.Context, answer recorder.Answer) (recorder.Answer, error) {
+	id := answer.Job.ID
+	if len(answer.Result) > recorder.MaxInlineResult {
+		if err := o.options.Objects.Put(ctx, recorder.ResultKey(id), answer.Result); err != nil {
+			return answer, fmt.Errorf("store result: %w", err)
+		}
+		answer.ResultObject = recorder.ResultKey(id)
+		answer.Result = nil
+	}
+	err := o.writer.write(ctx, []storer.Change{
+		{Key: recorder.DoneKey(id), Expect: 0, Value: recorder.Encode(answer)},
+		{Key: recorder.OpenKey(id), Expect: storer.AnyVersion, Delete: true},
+	})
+	if !errors.Is(err, storer.ErrConflict) {
+		return answer, err
+	}
+	row, readErr := o.options.Table.Read(ctx, recorder.DoneKey(id))
+	if readErr != nil {
+		return answer, fmt.Errorf("answer was not recorded: %w", err)
+	}
+	return recorder.Decode[recorder.Answer](row)
+}
+
+// publish tells the answer to whoever waits and lets the workers forget the job.
+func (o *Owner) publish(answer recorder.Answer) {
+	id := answer.Job.ID
+	o.answers.put(answer)
+	t := o.jobs[id]
+	if t == nil {
+		return
+	}
+	o.endAttempt(id)
+	close(t.done)
+	delete(o.jobs, id)
+}
+
+// closeWaiters wakes those who wait for jobs of a tenure that has ended.
+func (o *Owner) closeWaiters() {
+	for _, t := range o.jobs {
+		close(t.done)
+	}
+	o.jobs = map[string]*tracked{}
+}
+
+// Progress is an answer, or how far a job has come that has none yet.
+type Progress struct {
+	Answer *recorder.Answer   `json:"answer,omitempty"`
+	Job    *scheduler.JobView `json:"job,omitempty"`
+	Notes  []recorder.Note    `json:"notes,omitempty"`
+}
+
+// Wait returns the answer as soon as there is one, or how far the job has come when the context ends; ErrNoJob if it is not in this owner's care.
+func (o *Owner) Wait(ctx context.Context, id string) (Progress, error) {
+	for {
+		progress, done, err := o.progress(id)
+		if err != nil || progress.Answer != nil {
+			return progress, err
+		}
+		select {
+		case <-done:
+			if o.ctx.Err() != nil {
+				return progress, ErrNotOwner
+			}
+		case <-ctx.Done():
+			return progress, nil
+		case <-o.ctx.Done():
+			return progress, ErrNotOwner
+		}
+	}
+}
+
+func (o *Owner) progress(id string) (progress Progress, done chan struct{}, err error) {
+	known := false
+	err = o.do(o.ctx, func() {
+		if answer, ok := o.answers.get(id); ok {
+			progress.Answer = &answer
+			known = true
+			return
+		}
+		t := o.jobs[id]
+		if t == nil {
+			return
+		}
+		known = true
+		done = t.done
+		progress.Notes = t.record.Notes
+		if view, ok := o.scheduler.Job(id); ok {
+			progress.Job = &view
+		}
+	})
+	if err == nil && !known {
+		err = ErrNoJob
+	}
+	return progress, done, err
+}
+
+// Cancel asks for the end of a job; its answer tells what became of it.
+func (o *Owner) Cancel(ctx context.Context, id string) error {
+	known := false
+	err := o.do(ctx, func() {
+		known = o.jobs[id] != nil
+		if _, ok := o.answers.get(id); ok {
+			known = true
+		}
+		o.apply(scheduler.JobCancelled{ID: id})
+	})
+	if err == nil && !known {
+		return ErrNoJob
+	}
+	return err
+}
+
+// View returns the state of the service.
+func (o *Owner) View(ctx context.Context, withJobs bool) (scheduler.View, error) {
+	var view scheduler.View
+	err := o.do(ctx, func() { view = o.scheduler.View(withJobs) })
+	return view, err
+}
--- /dev/null
+++ b/owner/attempt.go
@@ -0,0 +1,350 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/recorder"
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/storer"
+)
+
+// commandPause is the time between repetitions of a command that got no answer.
+const commandPause = 500 * time.Millisecond
+
+// begin dispatches an attempt: recorded first if it must not run twice, reserved on all members, then started.
+func (o *Owner) begin(now time.Time, d scheduler.Started) {
+	t := o.jobs[d.Job.ID]
+	if t == nil {
+		return
+	}
+	t.attempt = newAttempt(d.Attempt, d.Members)
+	t.record.Attempt = d.Attempt
+	t.record.Members = d.Members
+	t.record.Checkpoint = d.Checkpoint
+	t.startedAt = now
+	o.logAttempt("attempt begins", d)
+	dispatch := &dispatch{
+		owner:   o,
+		spec:    d,
+		record:  t.record,
+		version: t.version,
+		traits:  t.traits(o.scheduler),
+	}
+	o.spawn(func(ctx context.Context) { dispatch.run(ctx) })
+}
+
+func (o *Owner) logAttempt(message string, d scheduler.Started) {
+	o.options.Logger.Info(message,
+		"job", d.Job.ID,
+		"attempt", d.Attempt,
+		"organisation", d.Job.Organisation,
+		"epoch", o.options.Epoch,
+		"workers", len(d.Members),
+		"why", d.Reason.Sentence(),
+	)
+}
+
+// dispatch carries one attempt to its workers, outside of the loop.
+type dispatch struct {
+	owner   *Owner
+	spec    scheduler.Started
+	record  recorder.Open
+	version int64
+	traits  classTraits
+}
+
+func (d *dispatch) attempt() dispatcher.Attempt {
+	return dispatcher.Attempt{Job: d.spec.Job.ID, Number: d.spec.Attempt}
+}
+
+func (d *dispatch) run(ctx context.Context) {
+	ctx, end := d.owner.options.Tracer.span(ctx, "owner.dispatch", d.spec.Job.ID, d.record.Traceparent)
+	defer end()
+	if !d.traits.idempotent && !d.recordAttempt(ctx) {
+		d.refuse("")
+		return
+	}
+	if worker, ok := d.reserveAll(ctx); !ok {
+		d.undo(ctx)
+		d.refuse(worker)
+		return
+	}
+	d.startAll(ctx)
+}
+
+// recordAttempt writes down where an attempt goes that must not run twice; without that it is not sent.
+func (d *dispatch) recordAttempt(ctx context.Context) bool {
+	err := d.owner.writer.write(ctx, []storer.Change{
+		{Key: recorder.OpenKey(d.record.Job.ID), Expect: d.version, Value: recorder.Encode(d.record)},
+	})
+	if err == nil {
+		d.owner.post(func() { d.owner.setVersion(d.record.Job.ID, d.version+1) })
+		return true
+	}
+	if errors.Is(err, storer.ErrOutcomeUnknown) || errors.Is(err, storer.ErrConflict) {
+		d.owner.refreshVersion(ctx, d.record.Job.ID)
+	}
+	return false
+}
+
+func (o *Owner) setVersion(id string, version int64) {
+	if t := o.jobs[id]; t != nil {
+		t.version = version
+	}
+}
+
+// refreshVersion reads the version of an open row after a write of unknown outcome.
+func (o *Owner) refreshVersion(ctx context.Context, id string) {
+	row, err := o.options.Table.Read(ctx, recorder.OpenKey(id))
+	if err == nil {
+		o.post(func() { o.setVersion(id, row.Version) })
+	}
+}
+
+// refuse tells the scheduler that no member started and that none can any more.
+func (d *dispatch) refuse(worker string) {
+	d.owner.post(func() {
+		d.owner.apply(scheduler.AttemptRefused{ID: d.spec.Job.ID, Attempt: d.spec.Attempt, Worker: worker})
+	})
+}
+
+// reserveAll asks all members' workers at once; it returns the first worker that did not agree.
+func (d *dispatch) reserveAll(ctx context.Context) (string, bool) {
+	failed := make([]string, len(d.spec.Members))
+	d.each(func(i int, m scheduler.Member) {
+		address := d.owner.addressOf(m.Worker)
+		status, err := d.owner.options.Workers.Reserve(ctx, address, d.reservation(i, m))
+		d.owner.checkEpoch(err)
+		d.owner.suspect(m.Worker, err)
+		if err != nil || status.State.Final() {
+			failed[i] = m.Worker
+		}
+	})
+	for _, worker := range failed {
+		if worker != "" {
+			return worker, false
+		}
+	}
+	return "", true
+}
+
+func (d *dispatch) reservation(i int, m scheduler.Member) dispatcher.ReserveRequest {
+	return dispatcher.ReserveRequest{
+		Epoch:         d.owner.options.Epoch,
+		Attempt:       d.attempt(),
+		ExpireSeconds: int(dispatcher.ReservationExpiry.Seconds()),
+		Task: dispatcher.Task{
+			Spec:         d.spec.Job,
+			Member:       i,
+			Members:      len(d.spec.Members),
+			Accelerators: m.Accelerators,
+			Lent:         d.spec.Lent,
+			Resume:       d.spec.Checkpoint,
+			Payload:      d.record.Payload,
+			Traceparent:  d.record.Traceparent,
+		},
+	}
+}
+
+// each runs f for all members at once and waits.
+func (d *dispatch) each(f func(i int, m scheduler.Member)) {
+	var group sync.WaitGroup
+	for i, m := range d.spec.Members {
+		group.Go(func() { f(i, m) })
+	}
+	group.Wait()
+}
+
+// undo gives the reservations back; those that cannot be reached expire by themselves, since no start was sent.
+func (d *dispatch) undo(ctx context.Context) {
+	d.each(func(_ int, m scheduler.Member) {
+		_, err := d.owner.options.Workers.Stop(ctx, d.owner.addressOf(m.Worker), dispatcher.StopRequest{
+			Epoch:   d.owner.options.Epoch,
+			Attempt: d.attempt(),
+		})
+		if err != nil {
+			d.owner.options.Logger.Debug("reservation not given back", "job", d.spec.Job.ID, "worker", m.Worker, "error", err)
+		}
+	})
+}
+
+// startAll starts all members and repeats the command, which is idempotent, until each worker has answered or is lost.
+func (d *dispatch) startAll(ctx context.Context) {
+	d.each(func(_ int, m scheduler.Member) {
+		d.owner.command(ctx, d.attempt(), m.Worker, func(address string) (dispatcher.Status, error) {
+			return d.owner.options.Workers.Start(ctx, address, dispatcher.StartRequest{
+				Epoch:   d.owner.options.Epoch,
+				Attempt: d.attempt(),
+			})
+		})
+	})
+}
+
+// command repeats send until the worker has given a status, and reports it to the loop; it gives up when the member is settled otherwise.
+func (o *Owner) command(ctx context.Context, a dispatcher.Attempt, worker string, send func(address string) (dispatcher.Status, error)) {
+	for ctx.Err() == nil && o.unsettled(ctx, a, worker) {
+		status, err := send(o.addressOf(worker))
+		o.checkEpoch(err)
+		if err == nil {
+			o.post(func() { o.hear(worker, status) })
+			return
+		}
+		sleep(ctx, commandPause)
+	}
+}
+
+// unsettled reports whether the worker's member of the attempt has neither ended nor been lost.
+func (o *Owner) unsettled(ctx context.Context, a dispatcher.Attempt, worker string) bool {
+	open := false
+	err := o.do(ctx, func() {
+		t := o.jobs[a.Job]
+		if t == nil || t.attempt == nil || t.attempt.number != a.Number {
+			return
+		}
+		i := t.attempt.indexOf(worker)
+		open = i >= 0 && !t.attempt.lost[i] && !t.attempt.statuses[i].State.Final()
+	})
+	return err == nil && open
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// checkEpoch notices that a worker has obeyed a later owner.
+func (o *Owner) checkEpoch(err error) {
+	if errors.Is(err, dispatcher.ErrStaleEpoch) && o.options.Superseded != nil {
+		o.options.Superseded()
+	}
+}
+
+// halt stops the members of an attempt.
+func (o *Owner) halt(d scheduler.Stopped) {
+	t := o.jobs[d.ID]
+	if t == nil || t.attempt == nil || t.attempt.number != d.Attempt {
+		return
+	}
+	o.haltAttempt(d.ID, t.attempt, d.Checkpoint)
+}
+
+func (o *Owner) haltAttempt(id string, a *attempt, checkpoint bool) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	name := dispatcher.Attempt{Job: id, Number: a.number}
+	for i, m := range a.members {
+		if a.lost[i] || a.statuses[i].State.Final() {
+			continue
+		}
+		o.spawn(func(ctx context.Context) {
+			o.command(ctx, name, m.Worker, func(address string) (dispatcher.Status, error) {
+				return o.options.Workers.Stop(ctx, address, dispatcher.StopRequest{
+					Epoch:      o.options.Epoch,
+					Attempt:    name,
+					Checkpoint: checkpoint,
+				})
+			})
+		})
+	}
+	o.resolve(id, a)
+}
+
+// hear takes in what a worker says of one member, whichever message brought it.
+func (o *Owner) hear(worker string, s dispatcher.Status) {
+	t := o.jobs[s.Attempt.Job]
+	if t == nil || t.attempt == nil || t.attempt.number != s.Attempt.Number || s.Attempt.Direct != "" {
+		o.hearStray(worker, s)
+		return
+	}
+	a := t.attempt
+	i := a.indexOf(worker)
+	if i < 0 || a.lost[i] || a.statuses[i].State.Final() {
+		return
+	}
+	if s.State == dispatcher.StateSucceeded && !whole(s) {
+		return
+	}
+	a.statuses[i] = s
+	o.resolve(s.Attempt.Job, a)
+}
+
+// resolve tells the scheduler what the members' states amount to.
+func (o *Owner) resolve(id string, a *attempt) {
+	if a.ended {
+		return
+	}
+	t := a.tally()
+	if !a.confirmed && t.present == len(a.members) && t.running+t.succeeded+t.failed == t.present {
+		a.confirmed = true
+		o.apply(scheduler.AttemptStarted{ID: id, Attempt: a.number})
+	}
+	switch {
+	case t.present == 0:
+	case t.final < t.present:
+		if t.final > t.succeeded {
+			o.haltAttempt(id, a, false)
+		}
+	default:
+		a.ended = true
+		o.apply(verdict(id, a, t))
+	}
+}
+
+// verdict turns the final states of all members into one event.
+func verdict(id string, a *attempt, t tally) scheduler.Event {
+	whole := t.present == len(a.members)
+	switch {
+	case whole && t.succeeded == t.present:
+		return scheduler.AttemptFinished{ID: id, Attempt: a.number, Outcome: scheduler.OutcomeSucceeded}
+	case t.failed > 0:
+		return scheduler.AttemptFinished{ID: id, Attempt: a.number, Outcome: scheduler.OutcomeFailed, Worker: t.failedOn}
+	case whole && t.neverStarted == t.present:
+		return scheduler.AttemptRefused{ID: id, Attempt: a.number, Worker: t.refusedBy}
+	default:
+		return scheduler.AttemptStopped{ID: id, Attempt: a.number, Checkpoint: whole && t.checkpoints > 0 && t.checkpoints+t.succeeded == t.present}
+	}
+}
+
+// endAttempt lets the workers forget an attempt that has been dealt with.
+func (o *Owner) endAttempt(id string) {
+	t := o.jobs[id]
+	if t == nil || t.attempt == nil {
+		return
+	}
+	o.forget(id, t.attempt)
+	t.attempt = nil
+}
+
+func (o *Owner) forget(id string, a *attempt) {
+	name := dispatcher.Attempt{Job: id, Number: a.number}
+	for _, m := range a.members {
+		if w := o.watches[m.Worker]; w != nil {
+			w.forget(name)
+		}
+	}
+}
+
+func (o *Owner) throttle(d scheduler.Throttled) {
+	t := o.jobs[d.ID]
+	if t == nil || t.attempt == nil {
+		return
+	}
+	name := dispatcher.Attempt{Job: d.ID, Number: t.attempt.number}
+	address := o.addressOf(d.Worker)
+	o.spawn(func(ctx context.Context) {
+		_, err := o.options.Workers.Throttle(ctx, address, dispatcher.ThrottleRequest{Epoch: o.options.Epoch, Attempt: name})
+		if err != nil {
+			o.options.Logger.Warn("task not throttled", "job", d.ID, "worker", d.Worker, "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,264 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/lister"
+	"github.com/snipelift/snipelift/recorder"
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/storer"
+)
+
+var (
+	// ErrNotOwner means that this owner has ended or has not taken over yet; nothing was done.
+	ErrNotOwner = errors.New("not the owner")
+	// ErrKeyReused means that the idempotency key belongs to a different request.
+	ErrKeyReused = errors.New("idempotency key was used for a different request")
+	// ErrNoJob means that no job has this ID.
+	ErrNoJob = errors.New("no such job")
+)
+
+// Options configure an Owner.
+type Options struct {
+	// Entry is the ID of the entry that this owner runs on.
+	Entry    string
+	Epoch    int64
+	Document documenter.Document
+	Table    storer.Table
+	Objects  storer.Objects
+	Workers  dispatcher.Client
+	List     lister.List
+	// Held reports whether the lease is held now.
+	Held func() bool
+	// Superseded is called when a worker has obeyed a later owner.
+	Superseded func()
+	// Random returns numbers from 0 up to 1 for jitter.
+	Random func() float64
+	// NewID returns IDs for writes.
+	NewID func() string
+	// Checked asserts the scheduler's invariants after every event.
+	Checked bool
+	Logger  *slog.Logger
+	Tracer  Tracer
+}
+
+// Owner is one tenure as owner of a service.
+type Owner struct {
+	options Options
+	inbox   chan func()
+	ctx     context.Context //nolint:containedctx // The context of the tenure ends everything that the tenure has started.
+	cancel  context.CancelFunc
+	ready   chan struct{}
+	tasks   sync.WaitGroup
+
+	// The fields below belong to the loop.
+	scheduler *scheduler.Scheduler
+	jobs      map[string]*tracked
+	accepting map[string]*accepting
+	answers   *answerCache
+	addresses sync.Map
+	watches   map[string]*watch
+	writer    *writer
+	ticker    *time.Timer
+	counts    Counts
+	limbo     map[string]*limbo
+	events    []scheduler.Event
+	applying  bool
+}
+
+// Counts are the events of one tenure.
+type Counts struct {
+	Decisions int64
+	Accepted  int64
+	Refused   int64
+	Started   int64
+	Stopped   int64
+	Ended     int64
+}
+
+const inboxSize = 1024
+
+// New returns an owner that does nothing until Run.
+func New(options Options) *Owner {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Owner{
+		options:   options,
+		inbox:     make(chan func(), inboxSize),
+		ready:     make(chan struct{}),
+		jobs:      map[string]*tracked{},
+		accepting: map[string]*accepting{},
+		answers:   newAnswerCache(answerCacheSize),
+		watches:   map[string]*watch{},
+		limbo:     map[string]*limbo{},
+	}
+}
+
+// Run takes over, then serves until the context ends; it returns when everything that it started has ended.
+func (o *Owner) Run(ctx context.Context) {
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	defer o.cancel()
+	o.writer = newWriter(o.options)
+	o.spawn(o.writer.run)
+	o.scheduler = scheduler.New(o.options.Document, scheduler.Options{
+		Random:  o.options.Random,
+		Checked: o.options.Checked,
+	})
+	if !o.takeOver() {
+		o.tasks.Wait()
+		return
+	}
+	o.ticker = time.NewTimer(0)
+	defer o.ticker.Stop()
+	o.spawn(o.followList)
+	close(o.ready)
+	o.loop()
+	o.cancel()
+	o.tasks.Wait()
+	o.closeWaiters()
+}
+
+func (o *Owner) loop() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case f := <-o.inbox:
+			f()
+		case <-o.ticker.C:
+			o.apply(scheduler.Ticked{})
+		}
+	}
+}
+
+// spawn runs f until it returns; f must end with the owner's context.
+func (o *Owner) spawn(f func(ctx context.Context)) {
+	o.tasks.Go(func() { f(o.ctx) })
+}
+
+// post runs f in the loop later; it reports false if the owner has ended.
+func (o *Owner) post(f func()) bool {
+	select {
+	case o.inbox <- f:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// do runs f in the loop and waits for it.
+func (o *Owner) do(ctx context.Context, f func()) error {
+	select {
+	case <-o.ready:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: taking over: %w", ErrNotOwner, ctx.Err())
+	}
+	done := make(chan struct{})
+	wrapped := func() {
+		defer close(done)
+		f()
+	}
+	select {
+	case o.inbox <- wrapped:
+	case <-o.ctx.Done():
+		return ErrNotOwner
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNotOwner, ctx.Err())
+	}
+	select {
+	case <-done:
+		return nil
+	case <-o.ctx.Done():
+		return ErrNotOwner
+	}
+}
+
+// apply gives an event to the scheduler and carries out what it decides; events that arise meanwhile follow in order.
+func (o *Owner) apply(event scheduler.Event) {
+	o.events = append(o.events, event)
+	if o.applying {
+		return
+	}
+	o.applying = true
+	defer func() { o.applying = false }()
+	now := time.Now()
+	for len(o.events) > 0 {
+		next := o.events[0]
+		o.events = o.events[1:]
+		for _, d := range o.scheduler.Apply(now, next) {
+			o.counts.Decisions++
+			o.carryOut(now, d)
+		}
+	}
+	o.setTicker(now)
+}
+
+func (o *Owner) setTicker(now time.Time) {
+	if o.ticker == nil {
+		return
+	}
+	at, ok := o.scheduler.NextAlarm()
+	if !ok {
+		return
+	}
+	o.ticker.Reset(max(0, at.Sub(now)))
+}
+
+func (o *Owner) carryOut(now time.Time, d scheduler.Decision) {
+	switch d := d.(type) {
+	case scheduler.Queued:
+		o.note(d.ID, now, d.Reason)
+	case scheduler.Refused:
+		o.counts.Refused++
+	case scheduler.Started:
+		o.counts.Started++
+		o.note(d.Job.ID, now, d.Reason)
+		o.begin(now, d)
+	case scheduler.Stopped:
+		o.counts.Stopped++
+		o.note(d.ID, now, d.Reason)
+		o.halt(d)
+	case scheduler.Requeued:
+		o.note(d.ID, now, d.Reason)
+		o.endAttempt(d.ID)
+		if t := o.jobs[d.ID]; t != nil {
+			t.record.Moves = d.Moves
+		}
+	case scheduler.Ended:
+		o.counts.Ended++
+		o.note(d.ID, now, d.Reason)
+		o.conclude(now, d)
+	case scheduler.Throttled:
+		o.throttle(d)
+	case scheduler.WorkerChanged:
+		o.options.Logger.Warn("worker changed", "worker", d.Worker, "usable", d.Usable, "why", d.Reason.Sentence())
+	case scheduler.GuaranteeChanged:
+		o.options.Logger.Warn("guarantee changed", "organisation", d.Organisation, "shape", d.Shape.String(), "missing", d.Missing, "why", d.Reason.Sentence())
+	}
+}
+
+func (o *Owner) note(id string, now time.Time, reason scheduler.Reason) {
+	if t := o.jobs[id]; t != nil {
+		t.record.Notes = recorder.AddNote(t.record.Notes, now, reason)
+	}
+}
+
+// SetDocument puts a later version of the document in force.
+func (o *Owner) SetDocument(ctx context.Context, d documenter.Document) error {
+	return o.do(ctx, func() { o.apply(scheduler.DocumentChanged{Document: d}) })
+}
+
+// Counts returns what this tenure has done so far.
+func (o *Owner) Counts(ctx context.Context) (Counts, error) {
+	var counts Counts
+	err := o.do(ctx, func() { counts = o.counts })
+	return counts, err
+}
--- /dev/null
+++ b/owner/tracer.go
@@ -0,0 +1,23 @@
+package owner
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Tracer makes the spans of an owner; the zero value makes none.
+type Tracer struct{ Tracer trace.Tracer }
+
+// span starts a span under the caller's trace and returns how to end it.
+func (t Tracer) span(ctx context.Context, name, job, traceparent string) (context.Context, func()) {
+	if t.Tracer == nil {
+		return ctx, func() {}
+	}
+	carrier := propagation.MapCarrier{"traceparent": traceparent}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	ctx, span := t.Tracer.Start(ctx, name, trace.WithAttributes(attribute.String("job", job)))
+	return ctx, func() { span.End() }
+}
--- /dev/null
+++ b/owner/watch.go
@@ -0,0 +1,293 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/lister"
+	"github.com/snipelift/snipelift/scheduler"
+)
+
+const (
+	// syncHold is how long a worker keeps an unanswered sync when it has no news.
+	syncHold = 5 * time.Second
+	// syncPause is the time between syncs that fail.
+	syncPause = 500 * time.Millisecond
+	// silentAfter is the time without an answer after which a worker gets no new work.
+	silentAfter = 2 * time.Second
+	// renewSilent is the time without an answer after which leases are no longer renewed blindly.
+	renewSilent = 10 * time.Second
+	// leaseMargin is added to a task's lease before the worker is taken to have stopped it.
+	leaseMargin = 2 * time.Second
+	// listPause is the time between looks at the platform's VM list.
+	listPause = 2 * time.Second
+)
+
+// watch follows one worker.
+type watch struct {
+	vm     lister.VM
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	forgets []dispatcher.Attempt
+
+	// The fields below belong to the loop.
+	seen     bool
+	silent   bool
+	lost     bool
+	leaving  bool
+	listed   bool
+	response dispatcher.SyncResponse
+
+	// The fields below belong to the watch's own task.
+	since       int64
+	incarnation string
+	heardAt     time.Time
+	renewedAt   time.Time
+}
+
+func (w *watch) forget(a dispatcher.Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forgets = append(w.forgets, a)
+}
+
+func (w *watch) pendingForgets() []dispatcher.Attempt {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.forgets)
+}
+
+func (w *watch) dropForgets(count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forgets = slices.Delete(w.forgets, 0, count)
+}
+
+// addressOf returns the address of the worker, or its ID if it is not on the list.
+func (o *Owner) addressOf(worker string) string {
+	if address, ok := o.addresses.Load(worker); ok {
+		if text, ok := address.(string); ok {
+			return text
+		}
+	}
+	return worker
+}
+
+// followList adds and removes watches as the platform's list says.
+func (o *Owner) followList(ctx context.Context) {
+	for ctx.Err() == nil {
+		vms, err := o.options.List(ctx)
+		if err == nil {
+			o.post(func() { o.takeList(vms) })
+		}
+		sleep(ctx, listPause)
+	}
+}
+
+func (o *Owner) takeList(vms []lister.VM) {
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		if vm.Role != lister.RoleWorker {
+			continue
+		}
+		listed[vm.ID] = true
+		w := o.watches[vm.ID]
+		if w == nil || w.vm.Address != vm.Address {
+			w = o.addWatch(vm)
+		}
+		w.listed = vm.Leaving
+		o.seeLeaving(w)
+	}
+	for id, w := range o.watches {
+		if !listed[id] && w.lost {
+			w.cancel()
+			delete(o.watches, id)
+		}
+	}
+}
+
+// addWatch follows a worker from now on.
+func (o *Owner) addWatch(vm lister.VM) *watch {
+	if before := o.watches[vm.ID]; before != nil {
+		before.cancel()
+	}
+	ctx, cancel := context.WithCancel(o.ctx)
+	now := time.Now()
+	w := &watch{vm: vm, cancel: cancel, heardAt: now, renewedAt: now}
+	o.watches[vm.ID] = w
+	o.addresses.Store(vm.ID, vm.Address)
+	o.tasks.Go(func() {
+		defer cancel()
+		o.follow(ctx, w)
+	})
+	return w
+}
+
+// follow keeps one sync open with the worker; each is at once probe, lease renewal and news.
+func (o *Owner) follow(ctx context.Context, w *watch) {
+	for ctx.Err() == nil {
+		if o.syncOnce(ctx, w, syncHold) {
+			continue
+		}
+		silence := time.Since(w.heardAt)
+		if silence >= silentAfter {
+			o.post(func() { o.silence(w) })
+		}
+		if time.Since(w.renewedAt) >= dispatcher.TaskLease+leaseMargin {
+			o.post(func() { o.lose(w) })
+		}
+		sleep(ctx, syncPause)
+	}
+}
+
+// syncOnce exchanges one sync and hands the answer to the loop.
+func (o *Owner) syncOnce(ctx context.Context, w *watch, hold time.Duration) bool {
+	request := dispatcher.SyncRequest{
+		Epoch:       o.options.Epoch,
+		Incarnation: w.incarnation,
+		Since:       w.since,
+		HoldMillis:  hold.Milliseconds(),
+		Forget:      w.pendingForgets(),
+	}
+	if time.Since(w.heardAt) < renewSilent {
+		request.LeaseSeconds = int(dispatcher.TaskLease.Seconds())
+		w.renewedAt = time.Now().Add(hold)
+	}
+	response, err := o.options.Workers.Sync(ctx, w.vm.Address, request)
+	o.checkEpoch(err)
+	if err != nil {
+		return false
+	}
+	w.heardAt = time.Now()
+	w.since = response.Sequence
+	w.incarnation = response.Worker.Incarnation
+	w.dropForgets(len(request.Forget))
+	return o.post(func() { o.takeSync(w, response) })
+}
+
+// takeSync takes in a worker's answer.
+func (o *Owner) takeSync(w *watch, r dispatcher.SyncResponse) {
+	if o.watches[w.vm.ID] != w {
+		return
+	}
+	restarted := w.seen && w.response.Worker.Incarnation != r.Worker.Incarnation
+	if restarted {
+		o.loseMembers(w.vm.ID)
+	}
+	if !w.seen || w.silent || w.lost || restarted || w.response.Worker != r.Worker {
+		w.seen = true
+		w.silent = false
+		w.lost = false
+		w.leaving = r.Leaving || w.listed
+		w.response = r
+		o.apply(scheduler.WorkerSeen{Worker: o.describe(w, r), Leaving: w.leaving})
+	}
+	w.response = r
+	o.seeLeaving(w)
+	for _, s := range r.Tasks {
+		o.hear(w.vm.ID, s)
+		if s.State == dispatcher.StateRunning && s.MemoryMB > 0 {
+			o.apply(scheduler.UsageReported{ID: s.Attempt.Job, Worker: w.vm.ID, MemoryMB: s.MemoryMB})
+		}
+	}
+}
+
+// describe returns the worker under the ID, zone and rack of the platform's list.
+func (o *Owner) describe(w *watch, r dispatcher.SyncResponse) scheduler.Worker {
+	info := r.Worker
+	info.ID = w.vm.ID
+	info.Zone = w.vm.Zone
+	info.Rack = w.vm.Rack
+	return info
+}
+
+// seeLeaving takes new work away from a worker that says it leaves, or that the list says leaves.
+func (o *Owner) seeLeaving(w *watch) {
+	leaving := w.listed || w.response.Leaving
+	if !w.seen || leaving == w.leaving {
+		return
+	}
+	w.leaving = leaving
+	o.apply(scheduler.WorkerSeen{Worker: o.describe(w, w.response), Leaving: leaving})
+}
+
+// suspect takes new work away from a worker that did not answer a command, until its next sync succeeds.
+func (o *Owner) suspect(worker string, err error) {
+	if !errors.Is(err, dispatcher.ErrNoAnswer) && !errors.Is(err, dispatcher.ErrUnreachable) {
+		return
+	}
+	o.post(func() {
+		if w := o.watches[worker]; w != nil {
+			o.silence(w)
+		}
+	})
+}
+
+func (o *Owner) silence(w *watch) {
+	if o.watches[w.vm.ID] != w || w.silent || !w.seen {
+		return
+	}
+	w.silent = true
+	o.options.Logger.Warn("worker silent", "worker", w.vm.ID, "epoch", o.options.Epoch)
+	o.apply(scheduler.WorkerSilent{ID: w.vm.ID})
+}
+
+// lose gives up a worker whose leases have all lapsed.
+func (o *Owner) lose(w *watch) {
+	if o.watches[w.vm.ID] != w || w.lost {
+		return
+	}
+	w.lost = true
+	o.options.Logger.Warn("worker lost", "worker", w.vm.ID, "epoch", o.options.Epoch)
+	o.loseMembers(w.vm.ID)
+	o.apply(scheduler.WorkerLost{ID: w.vm.ID})
+}
+
+// loseMembers marks all members on the worker as lost and settles the attempts that have no others.
+func (o *Owner) loseMembers(worker string) {
+	for id, t := range o.jobs {
+		a := t.attempt
+		if a == nil || a.ended {
+			continue
+		}
+		if i := a.indexOf(worker); i >= 0 && !a.lost[i] {
+			a.lost[i] = true
+			o.resolveAfterLoss(id, a)
+		}
+	}
+}
+
+// resolveAfterLoss lets the scheduler see the loss before the attempt's other members are judged.
+func (o *Owner) resolveAfterLoss(id string, a *attempt) {
+	o.post(func() { o.resolve(id, a) })
+}
+
+// hearStray deals with a task that belongs to no current attempt: it is stopped, then forgotten.
+func (o *Owner) hearStray(worker string, s dispatcher.Status) {
+	if l := o.limbo[s.Attempt.Job]; l != nil && s.Attempt.Direct == "" {
+		l.statuses[worker] = s
+		return
+	}
+	w := o.watches[worker]
+	if w == nil || s.Attempt.Direct != "" {
+		return
+	}
+	if s.State.Final() {
+		w.forget(s.Attempt)
+		return
+	}
+	t := o.jobs[s.Attempt.Job]
+	if t != nil && t.attempt != nil && s.Attempt.Number > t.attempt.number {
+		return
+	}
+	o.options.Logger.Warn("stray task stopped", "job", s.Attempt.Job, "attempt", s.Attempt.Number, "worker", worker)
+	o.spawn(func(ctx context.Context) {
+		_, err := o.options.Workers.Stop(ctx, w.vm.Address, dispatcher.StopRequest{Epoch: o.options.Epoch, Attempt: s.Attempt})
+		o.checkEpoch(err)
+	})
+}
--- /dev/null
+++ b/scheduler/admit.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"time"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told to wait.
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// submit admits a job or refuses it; a refused job leaves no trace.
+func (s *Scheduler) submit(e JobSubmitted) {
+	if s.jobs[e.Job.ID] != nil {
+		return
+	}
+	j := s.newJob(e.Job)
+	if !e.Restored && !e.Recorded {
+		if refusal, ok := s.refusal(j); ok {
+			s.decide(refusal)
+			return
+		}
+	}
+	j.attempt = e.Attempt
+	j.moves = e.Moves
+	j.checkpoint = e.Checkpoint
+	s.jobs[j.ID] = j
+	j.reason = s.waitingReason(j)
+	if !j.Deadline.IsZero() {
+		s.alarms.set(j.Deadline, j.ID, alarmDeadline)
+	}
+	s.enqueue(j)
+	s.decide(Queued{ID: j.ID, Reason: s.admission(j, e.Restored)})
+}
+
+func (s *Scheduler) admission(j *job, restored bool) Reason {
+	if restored {
+		return Reason{Rule: RuleRestored}
+	}
+	return Reason{
+		Rule:         RuleAdmitted,
+		Organisation: j.Organisation,
+		Count:        s.queue.waiting[classKey{j.Organisation, j.Class}],
+		Limit:        j.class.Limits.Queued,
+	}
+}
+
+func (s *Scheduler) newJob(spec Job) *job {
+	s.sequence++
+	spec.Shape = spec.Shape.WithDefaults()
+	j := &job{Job: spec, sequence: s.sequence, failedOn: map[string]bool{}}
+	class, rank, ok := s.document.Class(spec.Class)
+	j.class = class
+	j.rank = rank
+	if !ok {
+		j.rank = len(s.document.Classes) - 1
+		j.class.Name = spec.Class
+	}
+	return j
+}
+
+// refusal returns why the job cannot be admitted, or false.
+func (s *Scheduler) refusal(j *job) (Refused, bool) {
+	if refusal, ok := s.ownRefusal(j); ok {
+		return refusal, true
+	}
+	if s.queue.total < s.options.MaxWaiting {
+		return Refused{}, false
+	}
+	return s.shed(j)
+}
+
+// shed makes room for the job by ending the youngest job of the last class, or refuses it.
+func (s *Scheduler) shed(j *job) (Refused, bool) {
+	reason := Reason{Rule: RuleShed, Count: s.queue.total, Limit: s.options.MaxWaiting}
+	victim := s.queue.newestAfter(j.rank)
+	if victim == nil {
+		return Refused{ID: j.ID, RetryAfter: s.retryAfter(j), Reason: reason}, true
+	}
+	s.end(victim, OutcomeRefused, ranBefore(victim), reason)
+	return Refused{}, false
+}
+
+// permanentRefusal returns why the job could never run as things are, or false.
+func (s *Scheduler) permanentRefusal(j *job) (Reason, bool) {
+	if _, _, ok := s.document.Class(j.Class); !ok {
+		return Reason{Rule: RuleUnknownClass}, true
+	}
+	if _, _, ok := s.document.Organisation(j.Organisation); !ok {
+		return Reason{Rule: RuleUnknownOwner}, true
+	}
+	shape := j.Shape.String()
+	if j.Shape.Validate(s.unit) != nil {
+		return Reason{Rule: RuleImpossibleShape, Shape: shape}, true
+	}
+	if !s.everFits(j) {
+		return Reason{Rule: RuleNeverFits, Shape: shape}, true
+	}
+	if share := s.largestShareMB(j); share > 0 && j.MemoryMB > share {
+		return Reason{Rule: RuleTooMuchMemory, Count: j.MemoryMB, Limit: share}, true
+	}
+	return Reason{}, false
+}
+
+// everFits reports whether the known workers, were they all idle, hold the shape.
+func (s *Scheduler) everFits(j *job) bool {
+	members, each := j.Shape.Members(s.unit)
+	perRack := map[int]int{}
+	for _, w := range s.order {
+		if fits(w, j) && w.capacity >= max(1, each) {
+			perRack[w.rack]++
+			if perRack[w.rack] >= members {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// largestShareMB returns the memory that goes with the job's accelerators on the best worker, in MB.
+func (s *Scheduler) largestShareMB(j *job) int {
+	_, each := j.Shape.Members(s.unit)
+	share := 0
+	for _, w := range s.order {
+		if fits(w, j) {
+			share = max(share, shareMB(w, max(1, each)))
+		}
+	}
+	return share
+}
+
+func shareMB(w *worker, count int) int {
+	if w.capacity == 0 {
+		return 0
+	}
+	return w.MemoryMB * count / w.capacity
+}
+
+func (s *Scheduler) retryAfter(j *job) time.Duration {
+	return min(max(s.learned.mean(j.Class, j.Declared), minRetryAfter), maxRetryAfter)
+}
+
+// fits reports whether the worker is of the kind that the job needs.
+func fits(w *worker, j *job) bool {
+	return (j.Shape.Accelerators == 0) == (w.Accelerators == 0)
+}
+
+// Refusal returns why a job would be turned away now, or false if it would be admitted.
+func (s *Scheduler) Refusal(now time.Time, spec Job) (Refused, bool) {
+	s.now = now
+	return s.ownRefusal(s.newJob(spec))
+}
+
+// ownRefusal returns why the job is turned away on its own account or that of its organisation's queue, or false.
+func (s *Scheduler) ownRefusal(j *job) (Refused, bool) {
+	if reason, ok := s.permanentRefusal(j); ok {
+		return Refused{ID: j.ID, Reason: reason}, true
+	}
+	waiting := s.queue.waiting[classKey{j.Organisation, j.Class}]
+	if waiting < j.class.Limits.Queued {
+		return Refused{}, false
+	}
+	after := s.retryAfter(j)
+	reason := Reason{Rule: RuleQueueFull, Organisation: j.Organisation, Count: waiting, Limit: j.class.Limits.Queued, Span: after}
+	return Refused{ID: j.ID, RetryAfter: after, Reason: reason}, true
+}
--- /dev/null
+++ b/scheduler/adopt.go
@@ -0,0 +1,60 @@
+package scheduler
+
+// adoptRunning takes over an attempt that runs where an earlier owner started it.
+func (s *Scheduler) adoptRunning(e JobAdopted) {
+	if s.jobs[e.Job.ID] != nil {
+		return
+	}
+	j := s.newJob(e.Job)
+	j.attempt = e.Attempt
+	j.moves = e.Moves
+	j.checkpoint = e.Checkpoint
+	j.started = e.Started
+	j.phase = phaseRunning
+	j.room = roomSpare
+	s.jobs[j.ID] = j
+	for _, m := range e.Members {
+		s.adoptMember(j, m)
+	}
+	if len(j.members) < len(e.Members) || len(j.members) == 0 {
+		j.room = roomLent
+		s.stop(j, Reason{Rule: RuleMemberLost}, false)
+		if len(j.members) == 0 {
+			s.resolveStop(j)
+		}
+		return
+	}
+	if limit := j.class.RunLimit(); limit > 0 {
+		s.alarms.set(j.started.Add(limit), j.ID, alarmRunLimit)
+	}
+	s.rebind()
+}
+
+// adoptMember occupies the accelerators of one member; a member on an unknown worker or on taken accelerators counts as lost.
+func (s *Scheduler) adoptMember(j *job, m Member) {
+	w := s.workers[m.Worker]
+	if w == nil {
+		return
+	}
+	mask, count := adoptedMask(w, m)
+	if mask == 0 || w.occupied&mask != 0 {
+		return
+	}
+	s.changeOccupied(w, w.occupied|mask)
+	w.jobs[j.ID] = j
+	j.members = append(j.members, member{worker: w, count: count, mask: mask})
+}
+
+func adoptedMask(w *worker, m Member) (mask uint64, count int) {
+	if w.Accelerators == 0 {
+		probe := worker{capacity: w.capacity, occupied: w.occupied}
+		return probe.occupy(1), 1
+	}
+	for _, a := range m.Accelerators {
+		if a < 0 || a >= w.capacity {
+			return 0, 0
+		}
+		mask |= 1 << a
+	}
+	return mask, len(m.Accelerators)
+}
--- /dev/null
+++ b/scheduler/attempts.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"time"
+)
+
+const (
+	// refusedDelay keeps a job whose start was refused from asking again at once.
+	refusedDelay = 200 * time.Millisecond
+	// firstRetryDelay and maxRetryDelay bound the pause before a retry.
+	firstRetryDelay = 500 * time.Millisecond
+	maxRetryDelay   = 30 * time.Second
+	// maxFailedWorkers is the number of different workers after which a failure is the job's own.
+	maxFailedWorkers = 3
+)
+
+func (s *Scheduler) confirmStart(e AttemptStarted) {
+	j := s.attempt(e.ID, e.Attempt)
+	if j == nil || j.phase != phaseStarting {
+		return
+	}
+	j.phase = phaseRunning
+	j.started = s.now
+	if limit := j.class.RunLimit(); limit > 0 {
+		s.alarms.set(s.now.Add(limit), j.ID, alarmRunLimit)
+	}
+}
+
+// takeBack makes a job wait again whose attempt surely did not start.
+func (s *Scheduler) takeBack(e AttemptRefused) {
+	j := s.attempt(e.ID, e.Attempt)
+	if j == nil || j.phase == phaseClaiming {
+		return
+	}
+	s.forgetProbe(j)
+	if j.phase == phaseStopping && j.stop.Rule == RuleCancelled {
+		s.end(j, OutcomeCancelled, NotRun, j.stop)
+		return
+	}
+	s.requeue(j, refusedDelay, Reason{Rule: RuleNotStarted, Worker: e.Worker})
+}
+
+func (s *Scheduler) saveCheckpoint(e AttemptCheckpointed) {
+	j := s.attempt(e.ID, e.Attempt)
+	if j == nil {
+		return
+	}
+	j.saved = s.now
+	j.checkpoint = true
+}
+
+// finishStop ends or requeues a job whose attempt has stopped.
+func (s *Scheduler) finishStop(e AttemptStopped) {
+	j := s.attempt(e.ID, e.Attempt)
+	if j == nil || j.phase == phaseClaiming {
+		return
+	}
+	if j.phase != phaseStopping {
+		j.stop = Reason{Rule: RuleMemberLost, Worker: j.members[0].worker.ID}
+	}
+	j.checkpoint = j.checkpoint || e.Checkpoint
+	s.forgetProbe(j)
+	s.resolveStop(j)
+}
+
+func (s *Scheduler) resolveStop(j *job) {
+	switch j.stop.Rule {
+	case RuleCancelled:
+		s.end(j, OutcomeCancelled, DidRun, j.stop)
+	case RuleRunLimit, RuleMemoryStopped:
+		s.end(j, OutcomeFailed, DidRun, j.stop)
+	case RuleMemberLost:
+		s.resolveLoss(j)
+	default:
+		s.resumeElsewhere(j)
+	}
+}
+
+// resumeElsewhere requeues a job that was moved: from its checkpoint, or from the start if it is idempotent.
+func (s *Scheduler) resumeElsewhere(j *job) {
+	if !j.class.Idempotent && !j.checkpoint {
+		s.end(j, OutcomeUnknown, RanUnknown, Reason{Rule: RuleOutcomeUnknown, Worker: j.stop.Worker})
+		return
+	}
+	j.moves++
+	s.requeue(j, 0, j.stop)
+}
+
+// resolveLoss decides about a job whose worker was lost and of which nothing runs any more.
+func (s *Scheduler) resolveLoss(j *job) {
+	if j.class.Idempotent || j.checkpoint {
+		s.requeue(j, 0, j.stop)
+		return
+	}
+	s.end(j, OutcomeUnknown, RanUnknown, Reason{Rule: RuleOutcomeUnknown, Worker: j.stop.Worker})
+}
+
+func (s *Scheduler) finish(e AttemptFinished) {
+	j := s.attempt(e.ID, e.Attempt)
+	if j == nil || j.phase == phaseClaiming {
+		return
+	}
+	switch e.Outcome {
+	case OutcomeSucceeded:
+		s.succeed(j)
+	case OutcomeFailed:
+		s.fail(j, e.Worker)
+	default:
+		j.stop = Reason{Rule: RuleMemberLost, Worker: e.Worker}
+		s.resolveLoss(j)
+	}
+}
+
+func (s *Scheduler) succeed(j *job) {
+	took := s.now.Sub(j.started)
+	s.learned.observe(j.Class, took)
+	for _, m := range j.members {
+		s.praise(m.worker, j)
+	}
+	s.end(j, OutcomeSucceeded, DidRun, Reason{Rule: RuleFinished, Span: took})
+}
+
+// fail retries idempotent work elsewhere, under its limit and the class's budget.
+func (s *Scheduler) fail(j *job, workerID string) {
+	j.failedOn[workerID] = true
+	s.suspect(s.workers[workerID], j)
+	s.forgetProbe(j)
+	failures := len(j.failedOn)
+	switch {
+	case j.phase == phaseStopping && j.stop.Rule == RuleCancelled:
+		s.end(j, OutcomeCancelled, DidRun, j.stop)
+	case failures >= maxFailedWorkers:
+		s.clearSuspicion(j)
+		s.end(j, OutcomeFailed, DidRun, Reason{Rule: RuleJobsFault, Count: failures, Worker: workerID})
+	case !j.class.Idempotent || failures > j.class.Limits.Retries:
+		s.end(j, OutcomeFailed, DidRun, Reason{Rule: RuleFailed, Worker: workerID})
+	default:
+		delay := s.retryDelay(j, failures)
+		s.requeue(j, delay, Reason{Rule: RuleRetried, Worker: workerID, Count: failures, Limit: j.class.Limits.Retries, Span: delay})
+	}
+}
+
+// retryDelay doubles with each failure, with full jitter, and is at its longest when the class's budget is spent.
+func (s *Scheduler) retryDelay(j *job, failures int) time.Duration {
+	ceiling := min(firstRetryDelay<<(failures-1), maxRetryDelay)
+	if !s.budget(j.Class).spend() {
+		ceiling = maxRetryDelay
+	}
+	return time.Duration(float64(ceiling)*s.options.Random()) + time.Millisecond
+}
+
+// retryBudget lets a class retry a tenth of what it starts, and a few more.
+type retryBudget struct{ tenths int }
+
+const (
+	retryBudgetFull  = 100
+	retryBudgetPrice = 10
+)
+
+func (s *Scheduler) budget(class string) *retryBudget {
+	b := s.budgets[class]
+	if b == nil {
+		b = &retryBudget{tenths: retryBudgetFull}
+		s.budgets[class] = b
+	}
+	return b
+}
+
+func (b *retryBudget) earn() { b.tenths = min(b.tenths+1, retryBudgetFull) }
+
+func (b *retryBudget) spend() bool {
+	if b.tenths < retryBudgetPrice {
+		return false
+	}
+	b.tenths -= retryBudgetPrice
+	return true
+}
--- /dev/null
+++ b/scheduler/check.go
@@ -0,0 +1,192 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"math/bits"
+
+	"github.com/snipelift/snipelift/packer"
+)
+
+// ErrInvariant is wrapped by every report of a broken invariant.
+var ErrInvariant = errors.New("invariant broken")
+
+func (s *Scheduler) mustBeSound(event Event) {
+	if err := s.Check(); err != nil {
+		panic(fmt.Sprintf("after %T%+v: %v", event, event, err))
+	}
+}
+
+// Check works out all invariants from scratch and returns an error that wraps ErrInvariant for the first that is broken.
+func (s *Scheduler) Check() error {
+	checks := []func() error{
+		s.checkWorkers,
+		s.checkJobs,
+		s.checkCells,
+		s.checkPacking,
+		s.checkReasons,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvariant, err)
+		}
+	}
+	return nil
+}
+
+// checkWorkers asserts that no accelerator has two jobs and that the sums kept beside the masks are right.
+func (s *Scheduler) checkWorkers() error {
+	for _, w := range s.order {
+		var seen uint64
+		vacating, claimed := 0, 0
+		for _, j := range w.jobs {
+			for _, m := range j.members {
+				if m.worker != w {
+					continue
+				}
+				if seen&m.mask != 0 {
+					return fmt.Errorf("accelerators %b of %s have two jobs", seen&m.mask, w.ID)
+				}
+				if bits.OnesCount64(m.mask) != m.count {
+					return fmt.Errorf("job %s has %d accelerators on %s instead of %d", j.ID, bits.OnesCount64(m.mask), w.ID, m.count)
+				}
+				seen |= m.mask
+				if j.phase == phaseStopping {
+					vacating += m.count
+				}
+			}
+		}
+		for _, j := range w.claims {
+			claimed += countOn(j, w)
+		}
+		if seen != w.occupied || vacating != w.vacating || claimed != w.claimed {
+			return fmt.Errorf("worker %s: occupied %b vacating %d claimed %d, but its jobs say %b %d %d", w.ID, w.occupied, w.vacating, w.claimed, seen, vacating, claimed)
+		}
+		if w.available() < 0 {
+			return fmt.Errorf("worker %s is promised %d accelerators that it does not have", w.ID, -w.available())
+		}
+	}
+	return nil
+}
+
+// checkJobs asserts that a job has all its members or none, and that none is lost.
+func (s *Scheduler) checkJobs() error {
+	queued := 0
+	for id, j := range s.jobs {
+		members, each := j.Shape.Members(s.unit)
+		held := 0
+		for _, m := range j.members {
+			held += m.count
+		}
+		switch j.phase {
+		case phaseWaiting:
+			if held != 0 {
+				return fmt.Errorf("job %s waits and holds %d accelerators", id, held)
+			}
+			if j.notBefore.IsZero() {
+				queued++
+			}
+		case phaseClaiming, phaseStarting, phaseRunning:
+			if j.phase != phaseRunning && (len(j.members) != members || held != members*max(1, each)) {
+				return fmt.Errorf("job %s has %d accelerators on %d workers instead of %d on %d", id, held, len(j.members), members*each, members)
+			}
+			if held != max(1, j.Shape.Accelerators) {
+				return fmt.Errorf("job %s runs partly: %d of %d accelerators", id, held, j.Shape.Accelerators)
+			}
+		case phaseStopping:
+		}
+		if j.room == roomLent && !j.class.Reclaimable() && j.phase != phaseStopping {
+			return fmt.Errorf("job %s of class %s cannot be moved but borrows", id, j.Class)
+		}
+	}
+	if queued != s.queue.total {
+		return fmt.Errorf("%d jobs are in the queue, %d should be", s.queue.total, queued)
+	}
+	return nil
+}
+
+// checkCells asserts that guaranteed work is inside its organisation's cells.
+func (s *Scheduler) checkCells() error {
+	used := map[*cell]map[int]int{}
+	for _, j := range s.jobs {
+		if j.room != roomGuaranteed {
+			continue
+		}
+		if j.cell == nil || j.cell.organisation != j.Organisation {
+			return fmt.Errorf("job %s of %s is in a cell of another", j.ID, j.Organisation)
+		}
+		if used[j.cell] == nil {
+			used[j.cell] = map[int]int{}
+		}
+		for _, m := range j.members {
+			if !j.cell.covers(m.worker) {
+				return fmt.Errorf("job %s is on %s, outside of its cell", j.ID, m.worker.ID)
+			}
+			used[j.cell][m.worker.index] += m.count
+		}
+	}
+	for _, list := range s.cells {
+		for _, c := range list {
+			if c.bound() != (used[c] != nil) {
+				return fmt.Errorf("cell %d of %s is bound without a job in it, or the other way round", c.number, c.organisation)
+			}
+			for _, w := range c.workers {
+				if used[c][w.index] > c.each {
+					return fmt.Errorf("cell %d of %s holds more than its %d accelerators on %s", c.number, c.organisation, c.each, w.ID)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// checkPacking asserts that the guaranteed cells that are not in use pack onto what is free or can be reclaimed.
+func (s *Scheduler) checkPacking() error {
+	ledger := packer.NewLedger(s.unit)
+	residuals := map[*worker]int{}
+	for _, w := range s.order {
+		if w.usable() {
+			residuals[w] = w.Accelerators
+		}
+	}
+	for _, list := range s.cells {
+		for _, c := range list {
+			for _, w := range c.workers {
+				residuals[w] -= c.each
+			}
+			if !c.bound() && !c.broken {
+				ledger.Demand(c.shape, 1)
+			}
+		}
+	}
+	for _, j := range s.jobs {
+		for _, m := range j.members {
+			if j.room == roomSpare && m.worker.usable() && m.worker.Accelerators > 0 {
+				residuals[m.worker] -= m.count
+			}
+		}
+	}
+	for w, residual := range residuals {
+		if residual < 0 {
+			return fmt.Errorf("worker %s is bound %d accelerators over its capacity", w.ID, -residual)
+		}
+		if residual != s.ledger.Residual(w.index) {
+			return fmt.Errorf("the ledger has %d unbound accelerators on %s, there are %d", s.ledger.Residual(w.index), w.ID, residual)
+		}
+		ledger.AddWorker(w.index, w.rack, residual)
+	}
+	if !ledger.Packs() {
+		return errors.New("the guaranteed shapes that are not in use do not pack onto what is free or lent")
+	}
+	return nil
+}
+
+// checkReasons asserts that every decision says why.
+func (s *Scheduler) checkReasons() error {
+	for _, d := range s.decisions {
+		if _, ok := sentences[d.Why().Rule]; !ok {
+			return fmt.Errorf("decision %T has no reason: %+v", d, d)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,467 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// plan is a way to place a job, with what it costs others.
+type plan struct {
+	cell    *cell
+	bind    []*worker
+	workers []*worker
+	each    int
+	victims []*job
+	score   score
+}
+
+// score orders plans; every field is better when it is less.
+type score struct {
+	lost     float64
+	touched  int
+	kept     int
+	waste    int
+	leftover int
+	broken   int
+}
+
+func (a score) compare(b score) int {
+	return cmp.Or(
+		cmp.Compare(a.lost, b.lost),
+		cmp.Compare(a.touched, b.touched),
+		cmp.Compare(a.kept, b.kept),
+		cmp.Compare(a.waste, b.waste),
+		cmp.Compare(a.leftover, b.leftover),
+		cmp.Compare(a.broken, b.broken),
+	)
+}
+
+func better(a, b *plan) *plan {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case b.score.compare(a.score) < 0:
+		return b
+	default:
+		return a
+	}
+}
+
+// planGuaranteed returns the cheapest way to place the job inside a cell of its organisation, or nil.
+func (s *Scheduler) planGuaranteed(j *job) *plan {
+	if j.Shape.Accelerators == 0 {
+		return nil
+	}
+	members, each := j.Shape.Members(s.unit)
+	var best *plan
+	tried := map[guaranteeKey]bool{}
+	for _, c := range s.cells[j.Organisation] {
+		if c.broken || c.members < members || c.each < each {
+			continue
+		}
+		if c.bound() {
+			best = better(best, s.planInside(j, c, c.workers, nil, members, each))
+			continue
+		}
+		key := guaranteeKey{c.organisation, c.shape}
+		if !tried[key] {
+			tried[key] = true
+			best = better(best, s.planBinding(j, c, members, each))
+		}
+	}
+	return best
+}
+
+// planInside places the job on the workers of a cell where the cell has room.
+func (s *Scheduler) planInside(j *job, c *cell, workers, bind []*worker, members, each int) *plan {
+	options := make([]option, 0, len(workers))
+	for _, w := range workers {
+		room := c.each
+		if c.used != nil {
+			room = c.spareOn(w)
+		}
+		if room < each {
+			continue
+		}
+		if o, ok := s.optionFor(j, w, each, true); ok {
+			o.score.waste = room - each
+			options = append(options, o)
+		}
+	}
+	p := s.combine(options, members, each)
+	if p == nil {
+		return nil
+	}
+	p.cell = c
+	p.bind = bind
+	p.score.waste += (c.members - members) * c.each
+	return p
+}
+
+// planBinding looks for unbound workers on which the cell can be bound while all other cells still pack.
+func (s *Scheduler) planBinding(j *job, c *cell, members, each int) *plan {
+	if c.members == 1 {
+		return s.planBindingWorker(j, c, each)
+	}
+	var best *plan
+	for _, rack := range s.byRack {
+		bind := s.wholeWorkers(j, rack, c, members, each)
+		if bind == nil || !s.ledger.PacksAfterBinding(c.shape, workerIndexes(bind)) {
+			continue
+		}
+		best = better(best, s.planInside(j, c, bind, bind, members, each))
+	}
+	return best
+}
+
+func (s *Scheduler) planBindingWorker(j *job, c *cell, each int) *plan {
+	var best *plan
+	for _, w := range s.order {
+		residual := s.ledger.Residual(w.index)
+		if !w.usable() || residual < c.each {
+			continue
+		}
+		o, ok := s.optionFor(j, w, each, true)
+		if !ok {
+			continue
+		}
+		p := &plan{cell: c, bind: []*worker{w}, workers: []*worker{w}, each: each, victims: o.victims, score: o.score}
+		p.score.waste = c.each - each + residual - c.each
+		if best != nil && p.score.compare(best.score) >= 0 {
+			continue
+		}
+		if s.ledger.PacksAfterBinding(c.shape, []int{w.index}) {
+			best = p
+		}
+	}
+	return best
+}
+
+// wholeWorkers returns the cell's number of unbound workers of the rack, those that cost the job least first, or nil.
+func (s *Scheduler) wholeWorkers(j *job, rack []*worker, c *cell, members, each int) []*worker {
+	var options []option
+	for _, w := range rack {
+		if !w.usable() || s.ledger.Residual(w.index) < c.each {
+			continue
+		}
+		if o, ok := s.optionFor(j, w, each, true); ok {
+			options = append(options, o)
+		}
+	}
+	if len(options) < max(c.members, members) {
+		return nil
+	}
+	sortOptions(options)
+	workers := make([]*worker, 0, c.members)
+	for _, o := range options[:c.members] {
+		workers = append(workers, o.worker)
+	}
+	return workers
+}
+
+// option is one worker that a member could run on, with what that costs.
+type option struct {
+	worker  *worker
+	victims []*job
+	score   score
+}
+
+func sortOptions(options []option) {
+	slices.SortStableFunc(options, func(a, b option) int { return a.score.compare(b.score) })
+}
+
+// optionFor returns what it costs to put each accelerators of the job on the worker; false if that needs work that may not be moved.
+func (s *Scheduler) optionFor(j *job, w *worker, each int, guaranteed bool) (option, bool) {
+	o := option{worker: w}
+	available := w.available()
+	o.score.leftover = max(0, available-each)
+	o.score.broken = s.wholeFree[w.rack]
+	if s.reservedForOther(w, j) {
+		o.score.kept = 1
+	}
+	if available >= each {
+		return o, true
+	}
+	victims, lost, ok := s.victims(j, w, each-available, guaranteed)
+	if !ok {
+		return o, false
+	}
+	o.victims = victims
+	o.score.lost = lost
+	o.score.touched = len(victims)
+	return o, true
+}
+
+// combine picks the cheapest workers for a plan, counting a victim that spans several of them once.
+func (s *Scheduler) combine(options []option, members, each int) *plan {
+	if len(options) < members {
+		return nil
+	}
+	sortOptions(options)
+	p := &plan{each: each}
+	seen := map[*job]bool{}
+	for _, o := range options[:members] {
+		p.workers = append(p.workers, o.worker)
+		p.score.kept += o.score.kept
+		p.score.waste += o.score.waste
+		p.score.leftover += o.score.leftover
+		p.score.broken += o.score.broken
+		for _, v := range o.victims {
+			if !seen[v] {
+				seen[v] = true
+				p.victims = append(p.victims, v)
+				p.score.lost += s.lostWork(v)
+			}
+		}
+	}
+	p.score.touched = len(p.victims)
+	return p
+}
+
+// planLent returns a place that nobody occupies, or nil.
+func (s *Scheduler) planLent(j *job) *plan {
+	members, each := j.Shape.Members(s.unit)
+	each = max(1, each)
+	if members > 1 {
+		return s.planLentGang(j, members, each)
+	}
+	var best *plan
+	for _, w := range s.order {
+		if !w.usable() || !fits(w, j) || w.immediate() < each {
+			continue
+		}
+		kept := s.reservedForOther(w, j)
+		if kept && !s.mayBackfill(j) {
+			continue
+		}
+		p := &plan{workers: []*worker{w}, each: each}
+		p.score.leftover = w.immediate() - each
+		p.score.broken = s.wholeFree[w.rack]
+		if kept {
+			p.score.kept = 1
+		}
+		best = better(best, p)
+	}
+	return best
+}
+
+func (s *Scheduler) planLentGang(j *job, members, each int) *plan {
+	var best *plan
+	for r, rack := range s.byRack {
+		if s.wholeFree[r] < members {
+			continue
+		}
+		p := &plan{each: each}
+		for _, w := range rack {
+			if len(p.workers) == members {
+				break
+			}
+			if w.usable() && fits(w, j) && w.immediate() >= each && !s.reservedForOther(w, j) {
+				p.workers = append(p.workers, w)
+			}
+		}
+		if len(p.workers) == members {
+			p.score.leftover = s.wholeFree[r] - members
+			best = better(best, p)
+		}
+	}
+	return best
+}
+
+// planUrgent returns the cheapest place for urgent work beyond its guarantee, moving lent work of later classes.
+func (s *Scheduler) planUrgent(j *job) *plan {
+	members, each := j.Shape.Members(s.unit)
+	if members > 1 {
+		return nil
+	}
+	each = max(1, each)
+	var options []option
+	for _, w := range s.order {
+		if w.usable() && fits(w, j) {
+			if o, ok := s.optionFor(j, w, each, false); ok {
+				options = append(options, o)
+			}
+		}
+	}
+	return s.combine(options, members, each)
+}
+
+// planSpare returns a place outside of what all guarantees need, for work that cannot be moved, or nil.
+func (s *Scheduler) planSpare(j *job) *plan {
+	members, each := j.Shape.Members(s.unit)
+	if members > 1 || j.Shape.Accelerators == 0 {
+		return nil
+	}
+	var best *plan
+	for _, w := range s.order {
+		if !w.usable() || w.immediate() < each || s.ledger.Residual(w.index) < each || s.reservedForOther(w, j) {
+			continue
+		}
+		p := &plan{workers: []*worker{w}, each: each}
+		p.score.waste = s.ledger.Residual(w.index) - each
+		p.score.leftover = w.immediate() - each
+		p.score.broken = s.wholeFree[w.rack]
+		if best != nil && p.score.compare(best.score) >= 0 {
+			continue
+		}
+		if s.ledger.PacksAfterTaking([]int{w.index}, each) {
+			best = p
+		}
+	}
+	return best
+}
+
+func workerIndexes(workers []*worker) []int {
+	list := make([]int, 0, len(workers))
+	for _, w := range workers {
+		list = append(list, w.index)
+	}
+	return list
+}
+
+// commit carries out a plan: the job claims its place, its victims are asked to leave, and it starts once the place is clear.
+func (s *Scheduler) commit(j *job, p *plan, r room, reason, victimReason Reason) {
+	s.queue.remove(j)
+	if s.reservation != nil && s.reservation.job == j {
+		s.reservation = nil
+	}
+	j.room = r
+	j.phase = phaseClaiming
+	j.reason = reason
+	j.members = j.members[:0]
+	for _, w := range p.workers {
+		j.members = append(j.members, member{worker: w, count: p.each})
+	}
+	s.enterRoom(j, p)
+	for _, m := range j.members {
+		m.worker.claimed += m.count
+		m.worker.claims = append(m.worker.claims, j)
+	}
+	s.claims = append(s.claims, j)
+	s.evict(p.victims, victimReason)
+	s.startReadyClaims()
+	if j.phase == phaseClaiming {
+		s.alarmsForClaim(j, len(p.victims))
+	}
+}
+
+func (s *Scheduler) alarmsForClaim(j *job, victims int) {
+	j.reason = Reason{Rule: RuleWaitsForReclaim, Organisation: j.Organisation, Shape: j.Shape.String(), Count: victims}
+}
+
+func (s *Scheduler) enterRoom(j *job, p *plan) {
+	switch j.room {
+	case roomGuaranteed:
+		if p.bind != nil {
+			s.bind(p.cell, p.bind)
+		}
+		s.enterCell(j, p.cell)
+	case roomSpare:
+		s.takeSpare(j, 1)
+	case roomNone, roomLent:
+	}
+}
+
+// startReadyClaims starts every claim whose place is clear, the oldest first.
+func (s *Scheduler) startReadyClaims() {
+	for _, j := range slices.Clone(s.claims) {
+		if j.phase == phaseClaiming && s.clear(j) {
+			s.start(j)
+		}
+	}
+}
+
+func (s *Scheduler) clear(j *job) bool {
+	return !slices.ContainsFunc(j.members, func(m member) bool {
+		needed := 0
+		for _, c := range m.worker.claims {
+			needed += countOn(c, m.worker)
+			if c == j {
+				break
+			}
+		}
+		return m.worker.free() < needed
+	})
+}
+
+func countOn(j *job, w *worker) int {
+	for _, m := range j.members {
+		if m.worker == w {
+			return m.count
+		}
+	}
+	return 0
+}
+
+func (s *Scheduler) start(j *job) {
+	s.removeClaim(j)
+	for i := range j.members {
+		m := &j.members[i]
+		before := m.worker.occupied
+		m.mask = m.worker.occupy(m.count)
+		after := m.worker.occupied
+		m.worker.occupied = before
+		s.changeOccupied(m.worker, after)
+		m.worker.jobs[j.ID] = j
+	}
+	j.phase = phaseStarting
+	j.attempt++
+	j.started = s.now
+	j.saved = time.Time{}
+	j.reason = s.startReason(j)
+	s.budget(j.Class).earn()
+	s.decide(Started{
+		Job:        j.Job,
+		Attempt:    j.attempt,
+		Members:    j.publicMembers(),
+		Lent:       j.room == roomLent,
+		Checkpoint: j.checkpoint,
+		Reason:     j.reason,
+	})
+}
+
+func (s *Scheduler) startReason(j *job) Reason {
+	rule := RuleLent
+	switch {
+	case j.members[0].worker.probation == j.ID:
+		return Reason{Rule: RuleProbe, Worker: j.members[0].worker.ID}
+	case j.room == roomGuaranteed:
+		rule = RuleGuaranteed
+	case j.room == roomSpare:
+		rule = RuleSpare
+	}
+	return Reason{Rule: rule, Organisation: j.Organisation, Shape: j.Shape.String(), Worker: j.members[0].worker.ID}
+}
+
+// removeClaim takes back the job's claims without touching its room.
+func (s *Scheduler) removeClaim(j *job) {
+	for _, m := range j.members {
+		m.worker.claimed -= m.count
+		m.worker.claims = without(m.worker.claims, j)
+	}
+	s.claims = without(s.claims, j)
+}
+
+func without(list []*job, j *job) []*job {
+	return slices.DeleteFunc(list, func(other *job) bool { return other == j })
+}
+
+// dropClaim gives up the place of a job that has not started, if it has one.
+func (s *Scheduler) dropClaim(j *job) {
+	if j.phase != phaseClaiming {
+		return
+	}
+	s.removeClaim(j)
+	s.leaveRoom(j)
+	for _, m := range j.members {
+		if m.worker.probation == j.ID {
+			m.worker.probation = ""
+		}
+	}
+	j.members = nil
+	j.phase = phaseWaiting
+	s.full = true
+}
--- /dev/null
+++ b/scheduler/reserve.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxMoves bounds how often one job is moved to open room for gangs; guarantees are not bound by it.
+const maxMoves = 2
+
+// reservation keeps workers of one rack for the gang that waits first.
+type reservation struct {
+	job     *job
+	workers map[int]bool
+	// ready is the time until the workers are expected to be clear.
+	ready time.Duration
+}
+
+// reservedForOther reports whether the worker is kept for another job.
+func (s *Scheduler) reservedForOther(w *worker, j *job) bool {
+	return s.reservation != nil && s.reservation.job != j && s.reservation.workers[w.index]
+}
+
+// mayBackfill reports whether the job may use reserved workers: it can be moved off them, or is expected to be done before they are clear.
+func (s *Scheduler) mayBackfill(j *job) bool {
+	if j.class.Urgent() {
+		return true
+	}
+	return s.learned.mean(j.Class, j.Declared) < s.reservation.ready
+}
+
+// reserve opens room for a gang beyond its guarantee: at once by moving small lent work, or later by keeping a rack's workers for it.
+func (s *Scheduler) reserve(j *job) bool {
+	members, each := j.Shape.Members(s.unit)
+	best, ready := s.soonestRack(j, members, each)
+	if best == nil {
+		return false
+	}
+	if ready == 0 {
+		p := s.combine(best, members, each)
+		waited := s.now.Sub(j.Submitted)
+		if p.score.lost <= waited.Seconds()*float64(j.accelerators()) {
+			reason := Reason{Rule: RuleMadeRoomForGang, Job: j.ID, Organisation: j.Organisation, Shape: j.Shape.String(), Span: waited}
+			s.commit(j, p, roomLent, s.waitingReason(j), reason)
+			return true
+		}
+	}
+	s.reservation = &reservation{job: j, workers: map[int]bool{}, ready: ready}
+	for _, o := range best {
+		s.reservation.workers[o.worker.index] = true
+	}
+	j.reason = Reason{Rule: RuleReserved, Worker: best[0].worker.ID, Span: ready}
+	return false
+}
+
+// soonestRack returns the workers of the rack that can be clear for the gang first, and in how long.
+func (s *Scheduler) soonestRack(j *job, members, each int) ([]option, time.Duration) {
+	var best []option
+	var bestReady time.Duration
+	var bestLost float64
+	for _, rack := range s.byRack {
+		options, ready, lost := s.clearing(j, rack, members, each)
+		if options == nil {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(ready, bestReady), cmp.Compare(lost, bestLost)) < 0 {
+			best, bestReady, bestLost = options, ready, lost
+		}
+	}
+	return best, bestReady
+}
+
+// clearing returns the members' best workers of one rack, when the last of them will be clear, and the work lost by moving what can be moved.
+func (s *Scheduler) clearing(j *job, rack []*worker, members, each int) ([]option, time.Duration, float64) {
+	type candidate struct {
+		option
+		ready time.Duration
+	}
+	var candidates []candidate
+	for _, w := range rack {
+		if !w.usable() || !fits(w, j) || w.capacity < each || w.claimed > 0 {
+			continue
+		}
+		c := candidate{option: option{worker: w}}
+		for _, v := range w.sortedJobs() {
+			if s.movableForGang(v, j) {
+				c.victims = append(c.victims, v)
+				c.score.lost += s.lostWork(v)
+				continue
+			}
+			c.ready = max(c.ready, s.remaining(v))
+		}
+		candidates = append(candidates, c)
+	}
+	if len(candidates) < members {
+		return nil, 0, 0
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(a.score.lost, b.score.lost))
+	})
+	var options []option
+	var ready time.Duration
+	var lost float64
+	for _, c := range candidates[:members] {
+		options = append(options, c.option)
+		ready = max(ready, c.ready)
+		lost += c.score.lost
+	}
+	return options, ready, lost
+}
+
+// remaining estimates when the job leaves, and is never zero.
+func (s *Scheduler) remaining(j *job) time.Duration {
+	if j.phase == phaseStopping {
+		return checkpointCost
+	}
+	return max(time.Second, s.learned.remaining(j, s.now))
+}
+
+// movableForGang reports whether the running job may be moved to open room for the gang.
+func (s *Scheduler) movableForGang(v, j *job) bool {
+	if v.room != roomLent || v.phase == phaseStopping || v.rank < j.rank || v.moves >= maxMoves {
+		return false
+	}
+	return len(v.members) < j.membersWanted(s.unit)
+}
+
+func (j *job) membersWanted(unit int) int {
+	members, _ := j.Shape.Members(unit)
+	return members
+}
--- /dev/null
+++ b/scheduler/schedule.go
@@ -0,0 +1,117 @@
+package scheduler
+
+// schedule places waiting jobs: all of them after something was freed, else only the groups that got a new job.
+func (s *Scheduler) schedule() {
+	for s.full {
+		s.full = false
+		clear(s.touched)
+		s.startReadyClaims()
+		s.reservation = nil
+		s.placeAll()
+	}
+	for key := range s.touched {
+		if g := s.queue.groups[key]; g != nil {
+			s.placeGuaranteed(g)
+			s.placeElsewhere(key)
+		}
+	}
+	clear(s.touched)
+}
+
+func (s *Scheduler) placeAll() {
+	for rank := range s.queue.byRank {
+		groups := s.queue.ordered(rank)
+		for _, g := range groups {
+			s.placeGuaranteed(g)
+		}
+		for _, g := range groups {
+			s.placeElsewhere(g.key)
+		}
+	}
+}
+
+// placeGuaranteed places jobs of the group into their organisation's own cells for as long as there is room.
+func (s *Scheduler) placeGuaranteed(g *group) {
+	for len(g.jobs) > 0 {
+		j := g.head()
+		p := s.planGuaranteed(j)
+		if p == nil {
+			return
+		}
+		reason := Reason{Rule: RuleReclaimed, Organisation: j.Organisation, Shape: j.Shape.String(), Job: j.ID}
+		s.commit(j, p, roomGuaranteed, s.waitingReason(j), reason)
+	}
+}
+
+// placeElsewhere places jobs of the group beyond their organisation's guarantee for as long as there is room.
+func (s *Scheduler) placeElsewhere(key groupKey) {
+	for {
+		g := s.queue.groups[key]
+		if g == nil || !s.placeOneElsewhere(g.head()) {
+			return
+		}
+	}
+}
+
+func (s *Scheduler) placeOneElsewhere(j *job) bool {
+	if s.placeProbe(j) {
+		return true
+	}
+	if !j.class.Borrows {
+		return s.placeSpare(j)
+	}
+	if p := s.planLent(j); p != nil {
+		s.commit(j, p, roomLent, s.waitingReason(j), Reason{})
+		return true
+	}
+	if j.class.Urgent() {
+		return s.placeUrgent(j)
+	}
+	if s.reservation == nil && j.membersWanted(s.unit) > 1 {
+		return s.reserve(j)
+	}
+	if j.reason.Rule != RuleReserved || s.reservation == nil || s.reservation.job != j {
+		j.reason = s.waitingReason(j)
+	}
+	return false
+}
+
+func (s *Scheduler) placeSpare(j *job) bool {
+	p := s.planSpare(j)
+	if p == nil {
+		return false
+	}
+	s.commit(j, p, roomSpare, s.waitingReason(j), Reason{})
+	return true
+}
+
+func (s *Scheduler) placeUrgent(j *job) bool {
+	p := s.planUrgent(j)
+	if p == nil {
+		return false
+	}
+	reason := Reason{Rule: RuleMadeRoomForUrgent, Organisation: j.Organisation, Job: j.ID}
+	s.commit(j, p, roomLent, s.waitingReason(j), reason)
+	return true
+}
+
+// placeProbe tries out a quarantined worker with one idempotent job that is not urgent.
+func (s *Scheduler) placeProbe(j *job) bool {
+	if !j.class.Idempotent || j.class.Urgent() || !j.class.Borrows || j.membersWanted(s.unit) > 1 {
+		return false
+	}
+	for _, w := range s.order {
+		if w.state != workerProbing || w.probation != "" || !fits(w, j) || w.immediate() < j.accelerators() {
+			continue
+		}
+		w.probation = j.ID
+		p := &plan{workers: []*worker{w}, each: j.accelerators()}
+		s.commit(j, p, roomLent, s.waitingReason(j), Reason{})
+		return true
+	}
+	return false
+}
+
+func (s *Scheduler) waitingReason(j *job) Reason {
+	return Reason{Rule: RuleWaitsForShape, Organisation: j.Organisation, Shape: j.Shape.String()}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,265 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/packer"
+)
+
+// Options are the seams and limits of a scheduler; the zero value is usable.
+type Options struct {
+	// Random returns numbers from 0 up to 1 for jitter; nil means a fixed seed.
+	Random func() float64
+	// MaxWaiting bounds the jobs that wait in all.
+	MaxWaiting int
+	// Checked makes Apply panic when an invariant is broken.
+	Checked bool
+}
+
+const (
+	defaultMaxWaiting = 50_000
+	defaultSeed       = 1
+)
+
+func (o Options) withDefaults() Options {
+	if o.MaxWaiting == 0 {
+		o.MaxWaiting = defaultMaxWaiting
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(defaultSeed, defaultSeed)).Float64
+	}
+	return o
+}
+
+// Scheduler holds the state of one service; it is not safe for concurrent use.
+type Scheduler struct {
+	options     Options
+	document    documenter.Document
+	unit        int
+	now         time.Time
+	jobs        map[string]*job
+	queue       queue
+	workers     map[string]*worker
+	order       []*worker
+	racks       map[string]int
+	byRack      [][]*worker
+	wholeFree   []int
+	cells       map[string][]*cell
+	missing     map[guaranteeKey]int
+	ledger      *packer.Ledger
+	claims      []*job
+	alarms      alarms
+	reservation *reservation
+	learned     learner
+	budgets     map[string]*retryBudget
+	full        bool
+	touched     map[groupKey]bool
+	sequence    int
+	decisions   []Decision
+}
+
+// New returns a scheduler for the document, without workers and jobs.
+func New(document documenter.Document, options Options) *Scheduler {
+	s := &Scheduler{
+		options: options.withDefaults(),
+		jobs:    map[string]*job{},
+		workers: map[string]*worker{},
+		racks:   map[string]int{},
+		missing: map[guaranteeKey]int{},
+		learned: learner{},
+		budgets: map[string]*retryBudget{},
+		touched: map[groupKey]bool{},
+	}
+	s.changeDocument(document)
+	s.decisions = nil
+	return s
+}
+
+// Document returns the document in force.
+func (s *Scheduler) Document() documenter.Document { return s.document }
+
+// Apply takes one event at the given time and returns what follows from it, in order.
+func (s *Scheduler) Apply(now time.Time, event Event) []Decision {
+	s.now = now
+	s.decisions = nil
+	s.handle(event)
+	s.ring()
+	s.schedule()
+	if s.options.Checked {
+		s.mustBeSound(event)
+	}
+	return s.decisions
+}
+
+func (s *Scheduler) handle(event Event) {
+	switch e := event.(type) {
+	case JobSubmitted:
+		s.submit(e)
+	case JobAdopted:
+		s.adoptRunning(e)
+	case JobCancelled:
+		s.cancel(e.ID)
+	case AttemptStarted:
+		s.confirmStart(e)
+	case AttemptRefused:
+		s.takeBack(e)
+	case AttemptCheckpointed:
+		s.saveCheckpoint(e)
+	case AttemptStopped:
+		s.finishStop(e)
+	case AttemptFinished:
+		s.finish(e)
+	case WorkerSeen:
+		s.seeWorker(e)
+	case WorkerSilent:
+		s.silenceWorker(e.ID)
+	case WorkerLost:
+		s.loseWorker(e.ID)
+	case UsageReported:
+		s.weighUsage(e)
+	case DocumentChanged:
+		s.changeDocument(e.Document)
+	case Ticked:
+	}
+}
+
+func (s *Scheduler) decide(d Decision) { s.decisions = append(s.decisions, d) }
+
+// attempt returns the job if that attempt of it is the current one.
+func (s *Scheduler) attempt(id string, attempt int) *job {
+	j := s.jobs[id]
+	if j == nil || j.attempt != attempt || len(j.members) == 0 {
+		return nil
+	}
+	return j
+}
+
+func (s *Scheduler) changeDocument(d documenter.Document) {
+	s.document = d
+	s.unit = d.Unit()
+	s.queue.resize(len(d.Classes))
+	for _, j := range s.jobs {
+		s.reclassify(j)
+	}
+	s.rebind()
+	s.full = true
+}
+
+// reclassify gives the job the rules that the document in force has for its class; a class that is gone comes last under its old rules.
+func (s *Scheduler) reclassify(j *job) {
+	waiting := s.queue.remove(j)
+	class, rank, ok := s.document.Class(j.Class)
+	if ok {
+		j.class = class
+		j.rank = rank
+	} else {
+		j.rank = len(s.document.Classes) - 1
+	}
+	if waiting {
+		s.queue.add(j)
+	}
+}
+
+func (s *Scheduler) cancel(id string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	reason := Reason{Rule: RuleCancelled}
+	switch j.phase {
+	case phaseWaiting, phaseClaiming:
+		s.end(j, OutcomeCancelled, ranBefore(j), reason)
+	case phaseStarting, phaseRunning:
+		s.stop(j, reason, false)
+	case phaseStopping:
+		j.stop = reason
+	}
+}
+
+// ranBefore tells whether an earlier attempt of a waiting job started.
+func ranBefore(j *job) Ran {
+	if j.attempt == 0 {
+		return NotRun
+	}
+	return DidRun
+}
+
+// end takes the job out of the scheduler with its outcome.
+func (s *Scheduler) end(j *job, outcome Outcome, ran Ran, reason Reason) {
+	s.queue.remove(j)
+	s.dropClaim(j)
+	s.release(j)
+	if s.reservation != nil && s.reservation.job == j {
+		s.reservation = nil
+	}
+	delete(s.jobs, j.ID)
+	s.full = true
+	s.decide(Ended{ID: j.ID, Outcome: outcome, Ran: ran, Reason: reason})
+}
+
+// requeue makes a job wait again at its old age.
+func (s *Scheduler) requeue(j *job, delay time.Duration, reason Reason) {
+	s.release(j)
+	j.phase = phaseWaiting
+	j.room = roomNone
+	j.throttled = false
+	j.reason = reason
+	s.full = true
+	s.decide(Requeued{ID: j.ID, Moves: j.moves, Reason: reason})
+	if delay <= 0 {
+		s.enqueue(j)
+		return
+	}
+	j.notBefore = s.now.Add(delay)
+	s.alarms.set(j.notBefore, j.ID, alarmRetry)
+}
+
+func (s *Scheduler) enqueue(j *job) {
+	j.notBefore = time.Time{}
+	s.queue.add(j)
+	s.touched[keyOf(j)] = true
+}
+
+// stop asks for the end of an attempt; its accelerators stay occupied until that is confirmed.
+func (s *Scheduler) stop(j *job, reason Reason, checkpoint bool) {
+	j.phase = phaseStopping
+	j.stop = reason
+	for _, m := range j.members {
+		m.worker.vacating += m.count
+	}
+	s.decide(Stopped{ID: j.ID, Attempt: j.attempt, Members: j.publicMembers(), Checkpoint: checkpoint, Reason: reason})
+}
+
+// release frees what the job occupies.
+func (s *Scheduler) release(j *job) {
+	for _, m := range j.members {
+		s.vacate(j, m)
+	}
+	s.leaveRoom(j)
+	j.members = nil
+}
+
+func (s *Scheduler) vacate(j *job, m member) {
+	if m.worker.jobs[j.ID] != j {
+		return
+	}
+	delete(m.worker.jobs, j.ID)
+	s.changeOccupied(m.worker, m.worker.occupied&^m.mask)
+	if j.phase == phaseStopping {
+		m.worker.vacating -= m.count
+	}
+	s.full = true
+}
+
+// changeOccupied keeps the count of wholly free workers of each rack beside the mask.
+func (s *Scheduler) changeOccupied(w *worker, mask uint64) {
+	if w.occupied == 0 && mask != 0 {
+		s.wholeFree[w.rack]--
+	}
+	if w.occupied != 0 && mask == 0 {
+		s.wholeFree[w.rack]++
+	}
+	w.occupied = mask
+}
--- /dev/null
+++ b/scheduler/state.go
@@ -0,0 +1,169 @@
+package scheduler
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/packer"
+)
+
+// phase is how far a job has come.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseClaiming
+	phaseStarting
+	phaseRunning
+	phaseStopping
+)
+
+// room says on whose account a job occupies accelerators.
+type room uint8
+
+const (
+	roomNone room = iota
+	// roomGuaranteed is inside a cell that the document guarantees to the job's organisation.
+	roomGuaranteed
+	// roomLent is anywhere; the job can be stopped at any time.
+	roomLent
+	// roomSpare is outside of what the guarantees need; the job stays to its end.
+	roomSpare
+)
+
+// member is a job's part on one worker; mask is empty until the attempt starts.
+type member struct {
+	worker *worker
+	count  int
+	mask   uint64
+}
+
+type job struct {
+	Job
+	class      documenter.Class
+	rank       int
+	phase      phase
+	room       room
+	cell       *cell
+	members    []member
+	attempt    int
+	moves      int
+	started    time.Time
+	saved      time.Time
+	checkpoint bool
+	failedOn   map[string]bool
+	notBefore  time.Time
+	reason     Reason
+	stop       Reason
+	throttled  bool
+	sequence   int
+}
+
+// accelerators returns how many units of capacity the job takes in all.
+func (j *job) accelerators() int { return max(1, j.Shape.Accelerators) }
+
+// publicMembers returns the job's members on workers that still exist.
+func (j *job) publicMembers() []Member {
+	members := make([]Member, 0, len(j.members))
+	for _, m := range j.members {
+		members = append(members, Member{Worker: m.worker.ID, Accelerators: indexes(m)})
+	}
+	return members
+}
+
+func indexes(m member) []int {
+	list := []int{}
+	if m.worker.Accelerators == 0 {
+		return list
+	}
+	for mask := m.mask; mask != 0; mask &= mask - 1 {
+		list = append(list, bits.TrailingZeros64(mask))
+	}
+	return list
+}
+
+type workerState uint8
+
+const (
+	workerUp workerState = iota
+	workerLeaving
+	workerQuarantined
+	workerProbing
+	workerSilent
+)
+
+// worker is an upstream with what occupies it.
+type worker struct {
+	Worker
+	index     int
+	rack      int
+	state     workerState
+	capacity  int
+	occupied  uint64
+	vacating  int
+	claimed   int
+	jobs      map[string]*job
+	claims    []*job
+	suspects  map[string]bool
+	penalty   time.Duration
+	probation string
+}
+
+// free returns the capacity that nothing occupies.
+func (w *worker) free() int { return w.capacity - bits.OnesCount64(w.occupied) }
+
+// available returns the capacity that is free, or being vacated, and not claimed.
+func (w *worker) available() int { return w.free() + w.vacating - w.claimed }
+
+// immediate returns the capacity that a job could take without waiting for another to leave.
+func (w *worker) immediate() int { return min(w.free(), w.available()) }
+
+func (w *worker) usable() bool { return w.state == workerUp }
+
+// occupy takes count units and returns their mask.
+func (w *worker) occupy(count int) uint64 {
+	var mask uint64
+	for i := 0; i < w.capacity && count > 0; i++ {
+		bit := uint64(1) << i
+		if w.occupied&bit == 0 {
+			mask |= bit
+			count--
+		}
+	}
+	w.occupied |= mask
+	return mask
+}
+
+// sortedJobs returns the jobs that occupy the worker, by ID.
+func (w *worker) sortedJobs() []*job {
+	list := make([]*job, 0, len(w.jobs))
+	for _, j := range w.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// cell is one guaranteed shape; it is bound to workers while its organisation has work in it.
+type cell struct {
+	organisation string
+	shape        packer.Shape
+	guarantee    int
+	number       int
+	members      int
+	each         int
+	workers      []*worker
+	used         map[int]int
+	jobs         int
+	broken       bool
+}
+
+func (c *cell) bound() bool { return c.workers != nil }
+
+// spareOn returns how much of the cell is not in use on the worker.
+func (c *cell) spareOn(w *worker) int { return c.each - c.used[w.index] }
+
+func (c *cell) covers(w *worker) bool { return slices.Contains(c.workers, w) }
--- /dev/null
+++ b/scheduler/workers.go
@@ -0,0 +1,259 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// suspectJobs is the number of different jobs that must fail in a row before a worker is quarantined.
+	suspectJobs = 3
+	// firstPenalty and maxPenalty bound the time before a quarantined worker is tried again.
+	firstPenalty = 30 * time.Second
+	maxPenalty   = 30 * time.Minute
+	// quarantineShare is the divisor that bounds the quarantined part of the fleet.
+	quarantineShare = 10
+	// memoryStopPercent is the share of its memory at which a job is stopped rather than throttled.
+	memoryStopPercent = 125
+)
+
+// seeWorker takes in what a worker says of itself.
+func (s *Scheduler) seeWorker(e WorkerSeen) {
+	w := s.workers[e.Worker.ID]
+	if w != nil && (w.Incarnation != e.Worker.Incarnation || w.Worker.capacity() != e.Worker.capacity()) {
+		s.loseWorker(w.ID)
+		w = nil
+	}
+	if w == nil {
+		w = s.addWorker(e.Worker)
+		s.rebind()
+	}
+	if w.state == workerSilent {
+		w.state = workerUp
+		s.rebind()
+	}
+	if e.Leaving != (w.state == workerLeaving) {
+		s.changeLeaving(w, e.Leaving)
+	}
+}
+
+// silenceWorker gives a worker no new work until it answers again.
+func (s *Scheduler) silenceWorker(id string) {
+	w := s.workers[id]
+	if w == nil || w.state == workerSilent {
+		return
+	}
+	w.state = workerSilent
+	s.dropClaimsOn(w, Reason{Rule: RuleWorkerSilent, Worker: id})
+	s.rebind()
+}
+
+func (s *Scheduler) addWorker(info Worker) *worker {
+	rack, ok := s.racks[info.Zone+"/"+info.Rack]
+	if !ok {
+		rack = len(s.byRack)
+		s.racks[info.Zone+"/"+info.Rack] = rack
+		s.byRack = append(s.byRack, nil)
+		s.wholeFree = append(s.wholeFree, 0)
+	}
+	w := &worker{
+		Worker:   info,
+		index:    s.nextIndex(),
+		rack:     rack,
+		capacity: info.capacity(),
+		jobs:     map[string]*job{},
+		suspects: map[string]bool{},
+		penalty:  firstPenalty,
+	}
+	s.workers[w.ID] = w
+	s.order = append(s.order, w)
+	s.byRack[rack] = append(s.byRack[rack], w)
+	s.wholeFree[rack]++
+	return w
+}
+
+// nextIndex returns the lowest index that no worker has, so that replaced workers do not make the ledger grow.
+func (s *Scheduler) nextIndex() int {
+	taken := make([]bool, len(s.order)+1)
+	for _, w := range s.order {
+		if w.index < len(taken) {
+			taken[w.index] = true
+		}
+	}
+	return slices.Index(taken, false)
+}
+
+func (s *Scheduler) changeLeaving(w *worker, leaving bool) {
+	w.state = workerUp
+	if leaving {
+		w.state = workerLeaving
+	}
+	s.dropClaimsOn(w, Reason{Rule: RuleWorkerLeaving, Worker: w.ID})
+	s.rebind()
+	if !leaving {
+		return
+	}
+	for _, j := range w.sortedJobs() {
+		if j.class.Checkpointable && (j.phase == phaseRunning || j.phase == phaseStarting) {
+			s.stop(j, Reason{Rule: RuleWorkerLeaving, Worker: w.ID}, true)
+		}
+	}
+}
+
+func (s *Scheduler) dropClaimsOn(w *worker, reason Reason) {
+	for _, j := range slices.Clone(w.claims) {
+		s.dropClaim(j)
+		s.requeue(j, 0, reason)
+	}
+}
+
+// loseWorker ends what ran on a worker; a gang is stopped as a whole.
+func (s *Scheduler) loseWorker(id string) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	reason := Reason{Rule: RuleMemberLost, Worker: id}
+	s.dropClaimsOn(w, reason)
+	lost := w.sortedJobs()
+	for _, j := range lost {
+		s.loseMember(j, w, reason)
+	}
+	delete(s.workers, id)
+	s.order = slices.DeleteFunc(s.order, func(other *worker) bool { return other == w })
+	s.byRack[w.rack] = slices.DeleteFunc(s.byRack[w.rack], func(other *worker) bool { return other == w })
+	s.wholeFree[w.rack]--
+	s.rebind()
+	for _, j := range lost {
+		if s.jobs[j.ID] == j && j.phase == phaseStopping && len(j.members) == 0 {
+			s.resolveStop(j)
+		}
+	}
+}
+
+// loseMember takes the lost worker out of the job and stops the job's other members.
+func (s *Scheduler) loseMember(j *job, w *worker, reason Reason) {
+	at := slices.IndexFunc(j.members, func(m member) bool { return m.worker == w })
+	lost := j.members[at]
+	s.vacate(j, lost)
+	s.leaveRoomOnLoss(j)
+	j.members = slices.Delete(j.members, at, at+1)
+	if j.phase != phaseStopping {
+		s.stop(j, reason, false)
+		return
+	}
+	if j.stop.Rule != RuleCancelled {
+		j.stop = reason
+	}
+}
+
+// leaveRoomOnLoss takes the job out of its cell; what is left of it is on its way out.
+func (s *Scheduler) leaveRoomOnLoss(j *job) {
+	s.leaveRoom(j)
+	j.room = roomLent
+}
+
+// suspect counts a failure against the worker, unless the job has already failed elsewhere.
+func (s *Scheduler) suspect(w *worker, j *job) {
+	if w == nil || (len(j.failedOn) > 1 && w.state != workerProbing) {
+		return
+	}
+	w.suspects[j.ID] = true
+	switch {
+	case w.state == workerProbing && w.probation == j.ID:
+		w.penalty = min(w.penalty*2, maxPenalty)
+		s.quarantine(w)
+	case w.state == workerUp && len(w.suspects) >= suspectJobs && s.mayQuarantine():
+		s.quarantine(w)
+	}
+}
+
+// mayQuarantine bounds the share of the fleet that can be out, so that bad jobs cannot take it away.
+func (s *Scheduler) mayQuarantine() bool {
+	out := 0
+	for _, w := range s.order {
+		if w.state == workerQuarantined || w.state == workerProbing {
+			out++
+		}
+	}
+	return out < max(1, len(s.order)/quarantineShare)
+}
+
+func (s *Scheduler) quarantine(w *worker) {
+	w.state = workerQuarantined
+	w.probation = ""
+	reason := Reason{Rule: RuleWorkerQuarantined, Worker: w.ID, Count: len(w.suspects), Span: w.penalty}
+	s.dropClaimsOn(w, reason)
+	s.alarms.set(s.now.Add(w.penalty), w.ID, alarmProbe)
+	s.decide(WorkerChanged{Worker: w.ID, Usable: false, Reason: reason})
+	s.rebind()
+}
+
+func (s *Scheduler) beginProbation(id string) {
+	w := s.workers[id]
+	if w == nil || w.state != workerQuarantined {
+		return
+	}
+	w.state = workerProbing
+	s.full = true
+	s.decide(WorkerChanged{Worker: id, Usable: false, Reason: Reason{Rule: RuleWorkerProbing, Worker: id}})
+}
+
+// forgetProbe lets another job try out the worker if this one gave no verdict.
+func (s *Scheduler) forgetProbe(j *job) {
+	for _, m := range j.members {
+		if m.worker.probation == j.ID {
+			m.worker.probation = ""
+		}
+	}
+}
+
+// praise clears the worker of suspicion after a success.
+func (s *Scheduler) praise(w *worker, j *job) {
+	clear(w.suspects)
+	if w.state == workerProbing && w.probation == j.ID {
+		s.putBack(w)
+	}
+}
+
+func (s *Scheduler) putBack(w *worker) {
+	w.state = workerUp
+	w.probation = ""
+	w.penalty = firstPenalty
+	s.decide(WorkerChanged{Worker: w.ID, Usable: true, Reason: Reason{Rule: RuleWorkerBack, Worker: w.ID}})
+	s.rebind()
+}
+
+// clearSuspicion takes a job that turned out bad off the account of the workers that it failed on.
+func (s *Scheduler) clearSuspicion(j *job) {
+	for _, w := range slices.Clone(s.order) {
+		if !w.suspects[j.ID] {
+			continue
+		}
+		delete(w.suspects, j.ID)
+		if w.state == workerQuarantined && len(w.suspects) < suspectJobs && w.penalty == firstPenalty {
+			s.putBack(w)
+		}
+	}
+}
+
+// weighUsage throttles a job over its share of the worker's memory, and stops it when that did not help.
+func (s *Scheduler) weighUsage(e UsageReported) {
+	j := s.jobs[e.ID]
+	w := s.workers[e.Worker]
+	if j == nil || w == nil || w.jobs[j.ID] != j || j.phase != phaseRunning {
+		return
+	}
+	share := shareMB(w, countOn(j, w))
+	reason := Reason{Rule: RuleMemoryThrottled, Worker: w.ID, Count: e.MemoryMB, Limit: share}
+	switch {
+	case share == 0 || e.MemoryMB <= share:
+		j.throttled = false
+	case j.throttled || e.MemoryMB*100 > share*memoryStopPercent:
+		reason.Rule = RuleMemoryStopped
+		s.stop(j, reason, false)
+	default:
+		j.throttled = true
+		s.decide(Throttled{ID: j.ID, Worker: w.ID, Reason: reason})
+	}
+}
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,2 @@
+// Package server answers callers and operators over HTTP.
+package server
--- /dev/null
+++ b/storer/doc.go
@@ -0,0 +1,2 @@
+// Package storer reaches the platform's transactional table service and object store.
+package storer
--- /dev/null
+++ b/tracer/tracer.go
@@ -0,0 +1,49 @@
+package tracer
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+const filePermissions = 0o600
+
+// New returns a tracer that appends spans as JSON lines to the file, or one that makes none if path is empty; the clean-up function writes what is left.
+func New(path, entry string) (tracer trace.Tracer, cleanUp func(ctx context.Context) error, err error) {
+	if path == "" {
+		return noop.NewTracerProvider().Tracer(entry), func(context.Context) error { return nil }, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePermissions)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open trace file: %w", err)
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, nil, fmt.Errorf("make span exporter: %w", err)
+	}
+	provider := sdk.NewTracerProvider(sdk.WithBatcher(exporter))
+	cleanUp = func(ctx context.Context) error {
+		shutdownErr := provider.Shutdown(ctx)
+		if err := file.Close(); err != nil {
+			return fmt.Errorf("close trace file: %w", err)
+		}
+		if shutdownErr != nil {
+			return fmt.Errorf("write last spans: %w", shutdownErr)
+		}
+		return nil
+	}
+	return provider.Tracer(entry), cleanUp, nil
+}
+
+// Traceparent returns the W3C trace context of the span in ctx, or an empty string.
+func Traceparent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier.Get("traceparent")
+}
