--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -88,6 +88,9 @@
 // DocumentChanged puts a document in force.
 type DocumentChanged struct{ Document documenter.Document }
 
+// StoreChanged tells whether attempts can be recorded; without that, work that must not run twice is not started.
+type StoreChanged struct{ Away bool }
+
 // Ticked tells that time has passed.
 type Ticked struct{}
 
@@ -104,4 +107,5 @@
 func (WorkerLost) event()          {}
 func (UsageReported) event()       {}
 func (DocumentChanged) event()     {}
+func (StoreChanged) event()        {}
 func (Ticked) event()              {}
--- a/scheduler/schedule.go
+++ b/scheduler/schedule.go
@@ -35,7 +35,7 @@
 	for len(g.jobs) > 0 {
 		j := g.head()
 		p := s.planGuaranteed(j)
-		if p == nil {
+		if p == nil || s.mustWaitForStore(j) {
 			return
 		}
 		reason := Reason{Rule: RuleReclaimed, Organisation: j.Organisation, Shape: j.Shape.String(), Job: j.ID}
@@ -54,6 +54,9 @@
 }
 
 func (s *Scheduler) placeOneElsewhere(j *job) bool {
+	if s.mustWaitForStore(j) {
+		return false
+	}
 	if s.placeProbe(j) {
 		return true
 	}
@@ -76,6 +79,15 @@
 	return false
 }
 
+// mustWaitForStore reports whether the job's attempt would have to be recorded while that cannot be done.
+func (s *Scheduler) mustWaitForStore(j *job) bool {
+	if !s.storeAway || j.class.Idempotent {
+		return false
+	}
+	j.reason = Reason{Rule: RuleStoreAway}
+	return true
+}
+
 func (s *Scheduler) placeSpare(j *job) bool {
 	p := s.planSpare(j)
 	if p == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,7 @@
 	learned     learner
 	budgets     map[string]*retryBudget
 	full        bool
+	storeAway   bool
 	touched     map[groupKey]bool
 	sequence    int
 	decisions   []Decision
@@ -121,6 +122,9 @@
 		s.weighUsage(e)
 	case DocumentChanged:
 		s.changeDocument(e.Document)
+	case StoreChanged:
+		s.storeAway = e.Away
+		s.full = true
 	case Ticked:
 	}
 }
