--- a/packer/ledger_test.go
+++ b/packer/ledger_test.go
@@ -30,9 +30,12 @@
 
 func randomShapes(random *rand.Rand) []Shape {
 	kinds := []Shape{
-		{Accelerators: 1, Within: WithinWorker}, {Accelerators: 2, Within: WithinWorker},
-		{Accelerators: 4, Within: WithinWorker}, {Accelerators: 8, Within: WithinWorker},
-		{Accelerators: 16, Within: WithinRack}, {Accelerators: 32, Within: WithinRack},
+		{Accelerators: 1, Within: WithinWorker},
+		{Accelerators: 2, Within: WithinWorker},
+		{Accelerators: 4, Within: WithinWorker},
+		{Accelerators: 8, Within: WithinWorker},
+		{Accelerators: 16, Within: WithinRack},
+		{Accelerators: 32, Within: WithinRack},
 	}
 	shapes := make([]Shape, 1+random.IntN(6))
 	for i := range shapes {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -18,6 +18,9 @@
 
 // score orders plans; every field is better when it is less.
 type score struct {
+	// block is the size of the largest unused part of the organisation's cells that is broken.
+	block int
+	// lost is the work that is thrown away, in accelerator-seconds.
 	lost     float64
 	touched  int
 	kept     int
@@ -28,6 +31,7 @@
 
 func (a score) compare(b score) int {
 	return cmp.Or(
+		cmp.Compare(a.block, b.block),
 		cmp.Compare(a.lost, b.lost),
 		cmp.Compare(a.touched, b.touched),
 		cmp.Compare(a.kept, b.kept),
@@ -87,6 +91,7 @@
 			continue
 		}
 		if o, ok := s.optionFor(j, w, each, true); ok {
+			o.score.block = c.blockAround(w)
 			o.score.waste = room - each
 			options = append(options, o)
 		}
@@ -129,7 +134,8 @@
 			continue
 		}
 		p := &plan{cell: c, bind: []*worker{w}, workers: []*worker{w}, each: each, victims: o.victims, score: o.score}
-		p.score.waste = c.each - each + residual - c.each
+		p.score.block = c.each
+		p.score.waste = residual - each
 		if best != nil && p.score.compare(best.score) >= 0 {
 			continue
 		}
@@ -205,6 +211,7 @@
 	seen := map[*job]bool{}
 	for _, o := range options[:members] {
 		p.workers = append(p.workers, o.worker)
+		p.score.block = max(p.score.block, o.score.block)
 		p.score.kept += o.score.kept
 		p.score.waste += o.score.waste
 		p.score.leftover += o.score.leftover
--- a/scheduler/schedule.go
+++ b/scheduler/schedule.go
@@ -38,11 +38,27 @@
 		if p == nil || s.mustWaitForStore(j) {
 			return
 		}
+		if s.spareWholeCell(j, p) {
+			continue
+		}
 		reason := Reason{Rule: RuleReclaimed, Organisation: j.Organisation, Shape: j.Shape.String(), Job: j.ID}
 		s.commit(j, p, roomGuaranteed, s.waitingReason(j), reason)
 	}
 }
 
+// spareWholeCell lends the job a free place where its plan would break a cell that spans workers, so that the organisation's own gangs keep theirs.
+func (s *Scheduler) spareWholeCell(j *job, p *plan) bool {
+	if !j.class.Borrows || p.cell.members == 1 || p.score.block <= j.accelerators() {
+		return false
+	}
+	lent := s.planLent(j)
+	if lent == nil {
+		return false
+	}
+	s.commit(j, lent, roomLent, s.waitingReason(j), Reason{})
+	return true
+}
+
 // placeElsewhere places jobs of the group beyond their organisation's guarantee for as long as there is room.
 func (s *Scheduler) placeElsewhere(key groupKey) {
 	for {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -166,4 +166,18 @@
 // spareOn returns how much of the cell is not in use on the worker.
 func (c *cell) spareOn(w *worker) int { return c.each - c.used[w.index] }
 
+// blockAround returns the largest unused part of the cell that taking accelerators of the worker would break.
+func (c *cell) blockAround(w *worker) int {
+	if c.used[w.index] > 0 {
+		return c.spareOn(w)
+	}
+	unused := c.members
+	for _, other := range c.workers {
+		if c.used[other.index] > 0 {
+			unused--
+		}
+	}
+	return unused * c.each
+}
+
 func (c *cell) covers(w *worker) bool { return slices.Contains(c.workers, w) }
