--- /dev/null
+++ b/demonstrator/doc.go
@@ -0,0 +1,2 @@
+// Package demonstrator runs whole services with their stand-ins in one process on loopback.
+package demonstrator
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples embeds the documents of the first two services.
+package examples
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -141,14 +141,14 @@
 		UrgentInBound:  share(c.urgent),
 		UrgentCovered:  share(c.coveredOf),
 		Unusable:       mean(c.unusable),
-		GangWaitP99:    percentile(c.gangWaits, 0.99),
+		GangWaitP99:    p99(c.gangWaits),
 		GuaranteeDelay: c.delay,
 		WastedHours:    c.wasted / 3600,
 		Unfinished:     unfinished,
 		Breaches:       c.breaches,
 		Events:         c.events,
 		DecisionMean:   mean(c.micros),
-		DecisionP99:    percentile(c.micros, 0.99),
+		DecisionP99:    p99(c.micros),
 		Allocations:    mean(c.mallocs),
 	}
 	for _, class := range c.scenario.Document.Classes {
@@ -157,8 +157,8 @@
 			Jobs:         c.counts[class.Name],
 			Succeeded:    len(c.slowdowns[class.Name]),
 			SlowdownMean: mean(c.slowdowns[class.Name]),
-			SlowdownP99:  percentile(c.slowdowns[class.Name], 0.99),
-			WaitP99:      percentile(c.waits[class.Name], 0.99),
+			SlowdownP99:  p99(c.slowdowns[class.Name]),
+			WaitP99:      p99(c.waits[class.Name]),
 		})
 	}
 	return r
@@ -183,11 +183,11 @@
 	return sum / float64(len(list))
 }
 
-func percentile(list []float64, p float64) float64 {
+func p99(list []float64) float64 {
 	if len(list) == 0 {
 		return 0
 	}
 	sorted := slices.Clone(list)
 	slices.Sort(sorted)
-	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
+	return sorted[min(len(sorted)-1, int(0.99*float64(len(sorted))))]
 }
