--- a/owner/owner.go
+++ b/owner/owner.go
@@ -106,8 +106,9 @@
 func (o *Owner) Run(ctx context.Context) {
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	defer o.cancel()
-	o.writer = newWriter(o.options)
+	o.writer = newWriter(o.options, o.storeChanged)
 	o.spawn(o.writer.run)
+	o.spawn(o.writer.probe)
 	o.scheduler = scheduler.New(o.options.Document, scheduler.Options{
 		Random:  o.options.Random,
 		Checked: o.options.Checked,
@@ -251,6 +252,12 @@
 	}
 }
 
+// storeChanged lets the scheduler hold back what must be recorded while the table is away.
+func (o *Owner) storeChanged(away bool) {
+	o.options.Logger.Warn("table service changed", "away", away, "epoch", o.options.Epoch)
+	o.post(func() { o.apply(scheduler.StoreChanged{Away: away}) })
+}
+
 // SetDocument puts a later version of the document in force.
 func (o *Owner) SetDocument(ctx context.Context, d documenter.Document) error {
 	return o.do(ctx, func() { o.apply(scheduler.DocumentChanged{Document: d}) })
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,7 +39,8 @@
 
 // takeOver builds the state from the table and the workers; false if the context ended first.
 //
-// The first sync fences off earlier owners, so what a worker reports
+// Attempts that run are adopted before any job may wait, so that nothing is placed
+// where something runs. The first sync fences off earlier owners, so what a worker reports
 // after it cannot be changed by them any more.
 func (o *Owner) takeOver() bool {
 	rows, ok := o.readOpen()
@@ -61,10 +65,15 @@
 		versions[record.Job.ID] = row.Version
 	}
 	o.restoreFinished(records, versions, reported)
-	for _, row := range rows {
-		id := row.Key[len(recorder.PrefixOpen):]
-		if record, ok := records[id]; ok && o.jobs[id] == nil {
-			o.restore(record, versions[id], reported[id], statuses)
+	ids := idsOf(rows, records)
+	for _, id := range ids {
+		if f := reported[id]; o.jobs[id] == nil && f.runs() {
+			o.adopt(records[id], versions[id], o.traitsOf(records[id].Job.Class), f)
+		}
+	}
+	for _, id := range ids {
+		if o.jobs[id] == nil {
+			o.restore(records[id], versions[id], reported[id], statuses)
 		}
 	}
 	o.stopUnrecorded(records, statuses)
@@ -75,6 +84,18 @@
 	return true
 }
 
+// idsOf returns the IDs of the readable records, in the order of the rows.
+func idsOf(rows []storer.Row, records map[string]recorder.Open) []string {
+	var ids []string
+	for _, row := range rows {
+		id := strings.TrimPrefix(row.Key, recorder.PrefixOpen)
+		if _, ok := records[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (o *Owner) readOpen() ([]storer.Row, bool) {
 	for {
 		rows, err := o.options.Table.Range(o.ctx, recorder.PrefixOpen)
@@ -188,6 +209,11 @@
 
 func (f *found) whole() bool { return f != nil && len(f.members) == f.wanted }
 
+// runs reports whether every member runs or has succeeded.
+func (f *found) runs() bool {
+	return f.whole() && f.count(dispatcher.StateRunning)+f.count(dispatcher.StateSucceeded) == f.wanted
+}
+
 func (f *found) count(state dispatcher.State) int {
 	n := 0
 	for _, s := range f.statuses {
@@ -223,10 +249,6 @@
 // restore puts one open job where the table and the workers say it is.
 func (o *Owner) restore(record recorder.Open, version int64, f *found, answers map[string]dispatcher.SyncResponse) {
 	traits := o.traitsOf(record.Job.Class)
-	if f.whole() && f.count(dispatcher.StateRunning)+f.count(dispatcher.StateSucceeded) == f.wanted {
-		o.adopt(record, version, traits, f)
-		return
-	}
 	if !traits.idempotent && record.Attempt > 0 {
 		for _, m := range record.Members {
 			if _, ok := answers[m.Worker]; !ok {
@@ -343,12 +365,47 @@
 // leaveLimboLater decides about jobs in limbo once every lease from before the takeover has lapsed.
 func (o *Owner) leaveLimboLater(ctx context.Context) {
 	sleep(ctx, dispatcher.TaskLease+leaseMargin)
-	o.post(func() {
-		for id, l := range o.limbo {
+	o.post(func() { o.settleLimbo(func(*limbo) bool { return true }) })
+}
+
+// settleAnswered decides about jobs in limbo whose workers have all answered meanwhile.
+func (o *Owner) settleAnswered() {
+	o.settleLimbo(func(l *limbo) bool {
+		for _, m := range l.record.Members {
+			if w := o.watches[m.Worker]; w == nil || !w.seen {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// settleLimbo decides about the jobs in limbo that are ripe, then lets their workers have new work.
+func (o *Owner) settleLimbo(ripe func(l *limbo) bool) {
+	for _, id := range slices.Sorted(maps.Keys(o.limbo)) {
+		if l := o.limbo[id]; ripe(l) {
 			delete(o.limbo, id)
 			o.leaveLimbo(l)
 		}
-	})
+	}
+	for _, w := range o.watches {
+		if w.held && !o.inLimbo(w.vm.ID) {
+			w.held = false
+			o.seeLeaving(w)
+		}
+	}
+}
+
+// inLimbo reports whether a job in limbo may run on the worker.
+func (o *Owner) inLimbo(worker string) bool {
+	for _, l := range o.limbo {
+		for _, m := range l.record.Members {
+			if m.Worker == worker {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (o *Owner) leaveLimbo(l *limbo) {
@@ -373,7 +430,7 @@
 	}
 	traits := o.traitsOf(l.record.Job.Class)
 	switch {
-	case f.whole() && f.count(dispatcher.StateRunning)+f.count(dispatcher.StateSucceeded) == f.wanted:
+	case f.runs():
 		o.adopt(l.record, l.version, traits, f)
 	case !affirmed && !l.record.Checkpoint:
 		o.stopFound(id, f)
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -36,11 +36,13 @@
 	forgets []dispatcher.Attempt
 
 	// The fields below belong to the loop.
-	seen     bool
-	silent   bool
-	lost     bool
-	leaving  bool
-	listed   bool
+	seen    bool
+	silent  bool
+	lost    bool
+	leaving bool
+	listed  bool
+	// held keeps new work off a worker until the jobs that may run there are accounted for.
+	held     bool
 	response dispatcher.SyncResponse
 
 	// The fields below belong to the watch's own task.
@@ -183,7 +185,8 @@
 		w.seen = true
 		w.silent = false
 		w.lost = false
-		w.leaving = r.Leaving || w.listed
+		w.held = w.held || o.inLimbo(w.vm.ID)
+		w.leaving = r.Leaving || w.listed || w.held
 		w.response = r
 		o.apply(scheduler.WorkerSeen{Worker: o.describe(w, r), Leaving: w.leaving})
 	}
@@ -195,6 +198,9 @@
 			o.apply(scheduler.UsageReported{ID: s.Attempt.Job, Worker: w.vm.ID, MemoryMB: s.MemoryMB})
 		}
 	}
+	if len(o.limbo) > 0 {
+		o.settleAnswered()
+	}
 }
 
 // describe returns the worker under the ID, zone and rack of the platform's list.
@@ -208,7 +214,7 @@
 
 // seeLeaving takes new work away from a worker that says it leaves, or that the list says leaves.
 func (o *Owner) seeLeaving(w *watch) {
-	leaving := w.listed || w.response.Leaving
+	leaving := w.listed || w.response.Leaving || w.held
 	if !w.seen || leaving == w.leaving {
 		return
 	}
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/snipelift/snipelift/recorder"
@@ -21,7 +22,12 @@
 type writer struct {
 	options  Options
 	requests chan writeRequest
-	openAt   time.Time
+	// changed is called when the table goes away and when it is back.
+	changed func(away bool)
+
+	mu     sync.Mutex
+	away   bool
+	openAt time.Time
 }
 
 type writeRequest struct {
@@ -29,8 +35,49 @@
 	result  chan error
 }
 
-func newWriter(options Options) *writer {
-	return &writer{options: options, requests: make(chan writeRequest, inboxSize)}
+func newWriter(options Options, changed func(away bool)) *writer {
+	return &writer{options: options, changed: changed, requests: make(chan writeRequest, inboxSize)}
+}
+
+// setAway notes whether the table answers, and tells of a change.
+func (w *writer) setAway(away bool) {
+	w.mu.Lock()
+	before := w.away
+	w.away = away
+	w.openAt = time.Time{}
+	if away {
+		w.openAt = time.Now().Add(breakerPause)
+	}
+	w.mu.Unlock()
+	if before != away {
+		w.changed(away)
+	}
+}
+
+// refuses reports whether the table was found away moments ago, so that a write is better not sent.
+func (w *writer) refuses() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.openAt)
+}
+
+func (w *writer) isAway() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.away
+}
+
+// probe looks for the table while it is away.
+func (w *writer) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(float64(breakerPause)*(0.5+w.options.Random())))
+		if !w.isAway() {
+			continue
+		}
+		if _, err := w.options.Table.Read(ctx, recorder.KeyEpoch); err == nil {
+			w.setAway(false)
+		}
+	}
 }
 
 // write applies the changes if the owner has not been superseded; errors are those of storer.Table.
@@ -98,7 +145,7 @@
 
 // send writes the batch as one transaction; if a row of it conflicts, each request is written on its own.
 func (w *writer) send(ctx context.Context, batch []writeRequest) {
-	if time.Now().Before(w.openAt) {
+	if w.refuses() {
 		w.reply(batch, fmt.Errorf("%w: it was away moments ago", storer.ErrUnavailable))
 		return
 	}
@@ -140,8 +187,6 @@
 func (w *writer) commit(ctx context.Context, changes []storer.Change) error {
 	fenced := append([]storer.Change{{Key: recorder.KeyEpoch, Expect: w.options.Epoch, CheckOnly: true}}, changes...)
 	err := w.options.Table.WriteSettled(ctx, w.options.NewID(), fenced)
-	if errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrOutcomeUnknown) {
-		w.openAt = time.Now().Add(breakerPause)
-	}
+	w.setAway(errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrOutcomeUnknown))
 	return err //nolint:wrapcheck // The sentinel errors of storer.Table are the contract.
 }
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,6 +40,15 @@
 // HistoryKey returns the key of one version of the document.
 func HistoryKey(version int64) string { return fmt.Sprintf("%s%010d", PrefixDocument, version) }
 
+// JobID returns the ID of the job that an organisation asked for under an idempotency key.
+func JobID(organisation, key string) string {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
+	return hex.EncodeToString(sum[:jobIDBytes])
+}
+
+// jobIDBytes is the length of a job's ID before it is written in hex.
+const jobIDBytes = 12
+
 // ResultKey returns the key of a large result in the object store.
 func ResultKey(id string) string { return "results/" + id }
 
--- a/scheduler/adopt.go
+++ b/scheduler/adopt.go
@@ -18,7 +18,7 @@
 	}
 	if len(j.members) < len(e.Members) || len(j.members) == 0 {
 		j.room = roomLent
-		s.stop(j, Reason{Rule: RuleMemberLost}, false)
+		s.stop(j, Reason{Rule: RuleMemberLost, Worker: e.Members[0].Worker}, false)
 		if len(j.members) == 0 {
 			s.resolveStop(j)
 		}
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -30,7 +30,6 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	maxBodyBytes         = 256 << 10
 	maxKeyBytes          = 200
-	idBytes              = 12
 	defaultWait          = 10 * time.Second
 	maxWait              = 60 * time.Second
 	// minSubmit is the least time that is spent on finding an owner.
@@ -73,12 +72,6 @@
 	return propagation.TraceContext{}.Extract(c.Request.Context(), carrier)
 }
 
-// JobID returns the ID of the job that an organisation asked for under an idempotency key.
-func JobID(organisation, key string) string {
-	sum := sha256.Sum256([]byte(organisation + "\x00" + key))
-	return hex.EncodeToString(sum[:idBytes])
-}
-
 func (s *server) submit(c *gin.Context) {
 	record, ok := s.decodeSubmit(c)
 	if !ok {
@@ -164,7 +157,7 @@
 	fingerprint := sha256.Sum256(append([]byte(organisation+"\x00"), body...))
 	record := recorder.Open{
 		Job: scheduler.Job{
-			ID:           JobID(organisation, key),
+			ID:           recorder.JobID(organisation, key),
 			Organisation: organisation,
 			Class:        request.Class,
 			Shape:        request.Shape.WithDefaults(),
