--- a/owner/answer.go
+++ b/owner/answer.go
@@ -151,6 +151,7 @@
 		return
 	}
 	o.endAttempt(id)
+	o.forgetSettled(id, t)
 	close(t.done)
 	delete(o.jobs, id)
 }
--- a/owner/attempt.go
+++ b/owner/attempt.go
@@ -24,6 +24,7 @@
 	t.attempt = newAttempt(d.Attempt, d.Members)
 	t.record.Attempt = d.Attempt
 	t.record.Members = d.Members
+	t.record.Incarnations = o.incarnationsOf(d.Members)
 	t.record.Checkpoint = d.Checkpoint
 	t.startedAt = now
 	o.logAttempt("attempt begins", d)
@@ -37,6 +38,16 @@
 	o.spawn(func(ctx context.Context) { dispatch.run(ctx) })
 }
 
+func (o *Owner) incarnationsOf(members []scheduler.Member) map[string]string {
+	incarnations := map[string]string{}
+	for _, m := range members {
+		if w := o.watches[m.Worker]; w != nil {
+			incarnations[m.Worker] = w.response.Worker.Incarnation
+		}
+	}
+	return incarnations
+}
+
 func (o *Owner) logAttempt(message string, d scheduler.Started) {
 	o.options.Logger.Info(message,
 		"job", d.Job.ID,
@@ -82,7 +93,7 @@
 		{Key: recorder.OpenKey(d.record.Job.ID), Expect: d.version, Value: recorder.Encode(d.record)},
 	})
 	if err == nil {
-		d.owner.post(func() { d.owner.setVersion(d.record.Job.ID, d.version+1) })
+		d.owner.post(func() { d.owner.attemptRecorded(d.record.Job.ID, d.version+1) })
 		return true
 	}
 	if errors.Is(err, storer.ErrOutcomeUnknown) || errors.Is(err, storer.ErrConflict) {
@@ -91,6 +102,14 @@
 	return false
 }
 
+// attemptRecorded lets the workers forget earlier attempts, which the row now speaks for.
+func (o *Owner) attemptRecorded(id string, version int64) {
+	o.setVersion(id, version)
+	if t := o.jobs[id]; t != nil {
+		o.forgetSettled(id, t)
+	}
+}
+
 func (o *Owner) setVersion(id string, version int64) {
 	if t := o.jobs[id]; t != nil {
 		t.version = version
@@ -288,6 +307,10 @@
 		a.confirmed = true
 		o.apply(scheduler.AttemptStarted{ID: id, Attempt: a.number})
 	}
+	if !a.saved && t.present == len(a.members) && t.running > 0 && t.checkpoints+t.succeeded == t.present {
+		a.saved = true
+		o.apply(scheduler.AttemptCheckpointed{ID: id, Attempt: a.number})
+	}
 	switch {
 	case t.present == 0:
 	case t.final < t.present:
@@ -315,14 +338,28 @@
 	}
 }
 
-// endAttempt lets the workers forget an attempt that has been dealt with.
+// endAttempt puts an attempt that has been dealt with behind the job.
+//
+// The workers may forget it at once if the job is idempotent. Otherwise they are
+// the only ones to know that it ran and stopped at a checkpoint, until the next
+// attempt or the answer is recorded.
 func (o *Owner) endAttempt(id string) {
 	t := o.jobs[id]
 	if t == nil || t.attempt == nil {
 		return
 	}
-	o.forget(id, t.attempt)
+	t.settled = append(t.settled, t.attempt)
 	t.attempt = nil
+	if t.traits(o.scheduler).idempotent {
+		o.forgetSettled(id, t)
+	}
+}
+
+func (o *Owner) forgetSettled(id string, t *tracked) {
+	for _, a := range t.settled {
+		o.forget(id, a)
+	}
+	t.settled = nil
 }
 
 func (o *Owner) forget(id string, a *attempt) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -229,6 +229,7 @@
 		o.halt(d)
 	case scheduler.Requeued:
 		o.note(d.ID, now, d.Reason)
+		o.options.Logger.Info("job waits again", "job", d.ID, "epoch", o.options.Epoch, "why", d.Reason.Sentence())
 		o.endAttempt(d.ID)
 		if t := o.jobs[d.ID]; t != nil {
 			t.record.Moves = d.Moves
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -207,6 +207,14 @@
 	f.statuses = statuses
 }
 
+// attempts returns the attempt that was found, for its workers to forget once the table speaks for it.
+func (f *found) attempts() []*attempt {
+	if f == nil {
+		return nil
+	}
+	return []*attempt{newAttempt(f.number, f.members)}
+}
+
 func (f *found) whole() bool { return f != nil && len(f.members) == f.wanted }
 
 // runs reports whether every member runs or has succeeded.
@@ -284,9 +292,13 @@
 func (o *Owner) decideFate(record recorder.Open, version int64, traits classTraits, f *found) {
 	o.stopFound(record.Job.ID, f)
 	checkpoint := record.Checkpoint || (f.whole() && f.stoppedWhole())
-	started := f != nil && f.count(dispatcher.StateReserved) < len(f.statuses)
+	started := o.forgotten(record) || (f != nil && f.count(dispatcher.StateReserved) < len(f.statuses))
+	o.options.Logger.Info("job found", "job", record.Job.ID, "attempt", record.Attempt, "epoch", o.options.Epoch, "started", started, "checkpoint", checkpoint)
 	if traits.idempotent || checkpoint || !started {
-		o.jobs[record.Job.ID] = newTracked(record, traits, version)
+		t := newTracked(record, traits, version)
+		t.record.Checkpoint = checkpoint
+		t.settled = f.attempts()
+		o.jobs[record.Job.ID] = t
 		attempt := record.Attempt
 		if f != nil {
 			attempt = max(attempt, f.number)
@@ -294,20 +306,33 @@
 		o.apply(scheduler.JobSubmitted{Job: record.Job, Restored: true, Attempt: attempt, Moves: record.Moves, Checkpoint: checkpoint})
 		return
 	}
-	o.endUnknown(record, version, traits)
+	o.endUnknown(record, version, traits, f)
+}
+
+// forgotten reports whether a worker of the recorded attempt has restarted since, so that it cannot affirm that nothing ran.
+func (o *Owner) forgotten(record recorder.Open) bool {
+	for _, m := range record.Members {
+		w := o.watches[m.Worker]
+		if w == nil || w.response.Worker.Incarnation != record.Incarnations[m.Worker] {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *found) stoppedWhole() bool {
+	saved := 0
 	for _, s := range f.statuses {
-		if !s.Checkpoint {
-			return false
+		if s.Checkpoint || s.State == dispatcher.StateSucceeded {
+			saved++
 		}
 	}
-	return true
+	return saved == f.wanted && f.count(dispatcher.StateSucceeded) < f.wanted
 }
 
-func (o *Owner) endUnknown(record recorder.Open, version int64, traits classTraits) {
+func (o *Owner) endUnknown(record recorder.Open, version int64, traits classTraits, f *found) {
 	o.jobs[record.Job.ID] = newTracked(record, traits, version)
+	o.jobs[record.Job.ID].settled = f.attempts()
 	reason := scheduler.Reason{Rule: scheduler.RuleOutcomeUnknown}
 	if len(record.Members) > 0 {
 		reason.Worker = record.Members[0].Worker
@@ -323,7 +348,6 @@
 	name := dispatcher.Attempt{Job: id, Number: f.number}
 	for i, m := range f.members {
 		if f.statuses[i].State.Final() {
-			o.watches[m.Worker].forget(name)
 			continue
 		}
 		address := o.addressOf(m.Worker)
@@ -434,7 +458,7 @@
 		o.adopt(l.record, l.version, traits, f)
 	case !affirmed && !l.record.Checkpoint:
 		o.stopFound(id, f)
-		o.endUnknown(l.record, l.version, traits)
+		o.endUnknown(l.record, l.version, traits, f)
 	default:
 		o.decideFate(l.record, l.version, traits, f)
 	}
--- a/owner/tracked.go
+++ b/owner/tracked.go
@@ -15,6 +15,8 @@
 	// version is that of the open row, or 0 if the job has none.
 	version int64
 	attempt *attempt
+	// settled are earlier attempts that the workers must still remember.
+	settled []*attempt
 	// answer is set once the job has ended; done is closed once the answer may be told.
 	answer    *recorder.Answer
 	done      chan struct{}
@@ -38,6 +40,7 @@
 	statuses  []dispatcher.Status
 	lost      []bool
 	confirmed bool
+	saved     bool
 	stopping  bool
 	ended     bool
 }
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -283,11 +283,13 @@
 	if w == nil || s.Attempt.Direct != "" {
 		return
 	}
+	t := o.jobs[s.Attempt.Job]
 	if s.State.Final() {
-		w.forget(s.Attempt)
+		if t == nil || t.traits(o.scheduler).idempotent {
+			w.forget(s.Attempt)
+		}
 		return
 	}
-	t := o.jobs[s.Attempt.Job]
 	if t != nil && t.attempt != nil && s.Attempt.Number > t.attempt.number {
 		return
 	}
--- a/recorder/record.go
+++ b/recorder/record.go
@@ -81,11 +81,13 @@
 	Fingerprint string          `json:"fingerprint"`
 	Traceparent string          `json:"traceparent,omitempty"`
 	// Attempt is the number of the last attempt recorded before its dispatch, and Members where it went.
-	Attempt    int                `json:"attempt,omitempty"`
-	Members    []scheduler.Member `json:"members,omitempty"`
-	Moves      int                `json:"moves,omitempty"`
-	Checkpoint bool               `json:"checkpoint,omitempty"`
-	Notes      []Note             `json:"notes,omitempty"`
+	Attempt int                `json:"attempt,omitempty"`
+	Members []scheduler.Member `json:"members,omitempty"`
+	// Incarnations are those of the members' workers; a worker with another one has forgotten what it ran.
+	Incarnations map[string]string `json:"incarnations,omitempty"`
+	Moves        int               `json:"moves,omitempty"`
+	Checkpoint   bool              `json:"checkpoint,omitempty"`
+	Notes        []Note            `json:"notes,omitempty"`
 }
 
 // Answer is the row of a job that has ended; the first one recorded is the answer for ever.
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -355,7 +355,7 @@
 	defer cancel()
 	progress, err := e.Wait(ctx, w.id())
 	if err != nil || progress.Answer == nil {
-		f.t.Fatalf("%s has no answer after %s: %+v, %v", w.key, patience, progress.Job, err)
+		f.t.Fatalf("%s (%s) has no answer after %s: %+v, %v", w.key, w.id(), patience, progress.Job, err)
 	}
 	return *progress.Answer
 }
@@ -403,7 +403,7 @@
 func (f *fleet) mustRunOnce(w work) {
 	f.t.Helper()
 	if n := f.starts(w); n > 1 {
-		f.t.Fatalf("%s must not run twice and was started %d times", w.key, n)
+		f.t.Fatalf("%s (%s) must not run twice and was started %d times", w.key, w.id(), n)
 	}
 }
 
--- a/router/random_test.go
+++ b/router/random_test.go
@@ -197,7 +197,7 @@
 			}
 		}
 		if first.Ran == scheduler.NotRun && c.starts(w) > 0 {
-			c.t.Fatalf("%s is said not to have run but was started", w.key)
+			c.t.Fatalf("%s (%s) is said not to have run but was started", w.key, w.id())
 		}
 		c.judge(w)
 	}
@@ -206,7 +206,7 @@
 	}
 	for _, w := range c.refused {
 		if c.starts(w) > 0 {
-			c.t.Fatalf("%s was refused as not run but was started", w.key)
+			c.t.Fatalf("%s (%s) was refused as not run but was started", w.key, w.id())
 		}
 	}
 	for _, e := range c.entries {
