Prove the fleet under faults, and stop what they found

An idempotent job restored without its attempts was cancelled as not run. Ruled out: fencing and lease hand-over (epochs were in order in every trace).

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -12,6 +12,7 @@
 	"github.com/snipelift/snipelift/examples"
 	"github.com/snipelift/snipelift/faker"
 	"github.com/snipelift/snipelift/packer"
+	"github.com/snipelift/snipelift/scheduler"
 	"github.com/snipelift/snipelift/server"
 )
 
@@ -156,11 +157,13 @@
 	why := ""
 	for _, r := range e.Reasons {
 		switch r.Reason.Rule {
-		case "withinGuarantee", "lent", "spare", "probe", "direct", "reclaimed", "madeRoomForUrgent", "madeRoomForGang":
+		case scheduler.RuleGuaranteed, scheduler.RuleLent, scheduler.RuleSpare, scheduler.RuleProbe, scheduler.RuleDirect,
+			scheduler.RuleReclaimed, scheduler.RuleMadeRoomForUrgent, scheduler.RuleMadeRoomForGang:
 			if why != "" {
 				why += " "
 			}
 			why += r.Sentence
+		default:
 		}
 	}
 	return why
--- a/owner/answer.go
+++ b/owner/answer.go
@@ -184,7 +184,8 @@
 				return progress, ErrNotOwner
 			}
 		case <-ctx.Done():
-			return progress, nil
+			progress, _, err = o.progress(id)
+			return progress, err
 		case <-o.ctx.Done():
 			return progress, ErrNotOwner
 		}
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -303,7 +303,14 @@
 		if f != nil {
 			attempt = max(attempt, f.number)
 		}
-		o.apply(scheduler.JobSubmitted{Job: record.Job, Restored: true, Attempt: attempt, Moves: record.Moves, Checkpoint: checkpoint})
+		o.apply(scheduler.JobSubmitted{
+			Job:        record.Job,
+			Restored:   true,
+			Attempt:    attempt,
+			Moves:      record.Moves,
+			Checkpoint: checkpoint,
+			MayHaveRun: traits.idempotent,
+		})
 		return
 	}
 	o.endUnknown(record, version, traits, f)
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -18,7 +18,7 @@
 const urgentBound = 10 * time.Second
 
 func TestAnyEntryAnswersWhatAnotherTook(t *testing.T) {
-	withFleet(t, 3, 1, func(t *testing.T, f *fleet) {
+	withFleet(t, 3, 1, func(_ *testing.T, f *fleet) {
 		w := gang("gang", 30*time.Second)
 		f.accept(f.other(), w)
 		for _, e := range f.entries {
@@ -49,7 +49,7 @@
 }
 
 func TestRunningWorkSurvivesTheDeathOfItsOwner(t *testing.T) {
-	withFleet(t, 3, 3, func(t *testing.T, f *fleet) {
+	withFleet(t, 3, 3, func(_ *testing.T, f *fleet) {
 		long, short, once := gang("long", 5*time.Minute), lookup("short"), preview("once", time.Minute)
 		f.accept(f.other(), long)
 		f.accept(f.other(), short)
@@ -136,7 +136,7 @@
 }
 
 func TestAWriteWhoseReplyIsLostIsSettledByItsID(t *testing.T) {
-	withFleet(t, 3, 5, func(t *testing.T, f *fleet) {
+	withFleet(t, 3, 5, func(_ *testing.T, f *fleet) {
 		for i := range 12 {
 			f.table().Set(faker.Faults{LoseReplies: 1 + i%3})
 			w := preview(fmt.Sprintf("once-%d", i), time.Duration(i)*300*time.Millisecond)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -25,6 +25,7 @@
 	j.attempt = e.Attempt
 	j.moves = e.Moves
 	j.checkpoint = e.Checkpoint
+	j.mayHaveRun = e.MayHaveRun
 	s.jobs[j.ID] = j
 	j.reason = s.waitingReason(j)
 	if !j.Deadline.IsZero() {
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -17,6 +17,8 @@
 	Attempt    int
 	Moves      int
 	Checkpoint bool
+	// MayHaveRun tells that earlier attempts may have started that nobody recorded.
+	MayHaveRun bool
 }
 
 // JobAdopted tells of an attempt that was found running when this scheduler took over.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -87,7 +87,7 @@
 		if c.used != nil {
 			room = c.spareOn(w)
 		}
-		if room < each {
+		if room < each || s.avoids(j, w) {
 			continue
 		}
 		if o, ok := s.optionFor(j, w, each, true); ok {
@@ -126,7 +126,7 @@
 	var best *plan
 	for _, w := range s.order {
 		residual := s.ledger.Residual(w.index)
-		if !w.usable() || residual < c.each {
+		if !w.usable() || residual < c.each || s.avoids(j, w) {
 			continue
 		}
 		o, ok := s.optionFor(j, w, each, true)
@@ -237,7 +237,7 @@
 	}
 	var best *plan
 	for _, w := range s.order {
-		if !w.usable() || !fits(w, j) || w.immediate() < each {
+		if !w.usable() || !fits(w, j) || w.immediate() < each || s.avoids(j, w) {
 			continue
 		}
 		kept := s.reservedForOther(w, j)
@@ -287,7 +287,7 @@
 	each = max(1, each)
 	var options []option
 	for _, w := range s.order {
-		if w.usable() && fits(w, j) {
+		if w.usable() && fits(w, j) && !s.avoids(j, w) {
 			if o, ok := s.optionFor(j, w, each, false); ok {
 				options = append(options, o)
 			}
@@ -296,6 +296,11 @@
 	return s.combine(options, members, each)
 }
 
+// avoids reports whether the job has failed on the worker and there are others.
+func (s *Scheduler) avoids(j *job, w *worker) bool {
+	return j.failedOn[w.ID] && len(j.failedOn) < len(s.order)
+}
+
 // planSpare returns a place outside of what all guarantees need, for work that cannot be moved, or nil.
 func (s *Scheduler) planSpare(j *job) *plan {
 	members, each := j.Shape.Members(s.unit)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -184,10 +184,14 @@
 
 // ranBefore tells whether an earlier attempt of a waiting job started.
 func ranBefore(j *job) Ran {
-	if j.attempt == 0 {
+	switch {
+	case j.attempt > 0:
+		return DidRun
+	case j.mayHaveRun:
+		return RanUnknown
+	default:
 		return NotRun
 	}
-	return DidRun
 }
 
 // end takes the job out of the scheduler with its outcome.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -332,14 +332,18 @@
 	b := newBench(t, testDocument())
 	d := find[Started](t, b.submit("poison", "researchers", "lookup", workerShape(1)))
 	for {
-		decisions := b.after(time.Second, AttemptFinished{ID: "poison", Attempt: d.Attempt, Outcome: OutcomeFailed, Worker: fmt.Sprintf("worker-%d", d.Attempt)})
+		decisions := b.after(time.Second, AttemptFinished{ID: "poison", Attempt: d.Attempt, Outcome: OutcomeFailed, Worker: d.Members[0].Worker})
 		if ended := all[Ended](decisions); len(ended) == 1 {
 			if ended[0].Reason.Rule != RuleJobsFault || ended[0].Reason.Count != maxFailedWorkers {
 				t.Fatalf("ended %+v, want the job's own fault after %d workers", ended[0], maxFailedWorkers)
 			}
 			return
 		}
-		d = find[Started](t, b.after(maxRetryDelay, Ticked{}))
+		again := find[Started](t, b.after(maxRetryDelay, Ticked{}))
+		if again.Members[0].Worker == d.Members[0].Worker {
+			t.Fatalf("tried on %s again, want another worker", d.Members[0].Worker)
+		}
+		d = again
 	}
 }
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -54,6 +54,7 @@
 	started    time.Time
 	saved      time.Time
 	checkpoint bool
+	mayHaveRun bool
 	failedOn   map[string]bool
 	notBefore  time.Time
 	reason     Reason
