--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -194,7 +194,7 @@
 }
 
 func TestALostWorkerCostsOnlyWhatRanThere(t *testing.T) {
-	withFleet(t, 3, 8, func(t *testing.T, f *fleet) {
+	withFleet(t, 3, 8, func(_ *testing.T, f *fleet) {
 		var all []work
 		for i := range 20 {
 			w := lookup(fmt.Sprintf("lookup-%d", i))
@@ -234,7 +234,7 @@
 }
 
 func TestLostRepliesFromWorkersAreAskedAbout(t *testing.T) {
-	withFleet(t, 3, 20, func(t *testing.T, f *fleet) {
+	withFleet(t, 3, 20, func(_ *testing.T, f *fleet) {
 		for i := range 10 {
 			for _, worker := range f.workers {
 				worker.Set(faker.Faults{LoseReplies: 1 + i%3, RepeatAnswers: i%2 == 0})
