--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx"
 
 	"github.com/snipelift/snipelift/configurer"
+	"github.com/snipelift/snipelift/counter"
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/documenter"
 	"github.com/snipelift/snipelift/lister"
@@ -55,7 +56,7 @@
 		fx.Provide(
 			newLogger,
 			newTracer,
-			newHTTPClient,
+			newClients,
 			newTable,
 			newObjects,
 			newWorkers,
@@ -63,7 +64,7 @@
 			newRouter,
 			newHandler,
 			newDrain,
-			metrics.NewRegistry,
+			newRegistry,
 		),
 		fx.Invoke(runPeerServer, runRouter, runHTTPServer),
 	)
@@ -91,9 +92,22 @@
 	return t, nil
 }
 
-func newHTTPClient(lifecycle fx.Lifecycle) *http.Client {
+// clients are the HTTP clients of a process, apart so that their traffic is counted apart.
+type clients struct {
+	platform *http.Client
+	workers  *http.Client
+}
+
+func newClients(lifecycle fx.Lifecycle, registry metrics.Registry) clients {
+	return clients{
+		platform: newHTTPClient(lifecycle, registry, "platform"),
+		workers:  newHTTPClient(lifecycle, registry, "workers"),
+	}
+}
+
+func newHTTPClient(lifecycle fx.Lifecycle, registry metrics.Registry, name string) *http.Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         counter.Counting(registry, name, (&net.Dialer{Timeout: time.Second}).DialContext),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
@@ -105,6 +119,12 @@
 	return &http.Client{Transport: transport}
 }
 
+func newRegistry() metrics.Registry {
+	registry := metrics.NewRegistry()
+	counter.Process(registry)
+	return registry
+}
+
 func provider(p configurer.Platform) aws.CredentialsProvider {
 	if p.AccessKeyID == "" {
 		return aws.AnonymousCredentials{}
@@ -112,33 +132,33 @@
 	return credentials.NewStaticCredentialsProvider(p.AccessKeyID, p.SecretAccessKey, "")
 }
 
-func newTable(settings configurer.Settings, client *http.Client) storer.Table {
+func newTable(settings configurer.Settings, c clients) storer.Table {
 	return storer.NewDynamo(storer.DynamoOptions{
 		Endpoint:    settings.Platform.TableURL,
 		Region:      settings.Platform.Region,
 		Table:       settings.Platform.Table,
 		Service:     settings.Service,
 		Credentials: provider(settings.Platform),
-		HTTPClient:  client,
+		HTTPClient:  c.platform,
 		Timeout:     settings.Platform.Timeout(),
 	})
 }
 
-func newObjects(settings configurer.Settings, client *http.Client) storer.Objects {
+func newObjects(settings configurer.Settings, c clients) storer.Objects {
 	return storer.NewS3(storer.S3Options{
 		Endpoint:    settings.Platform.ObjectURL,
 		Region:      settings.Platform.Region,
 		Bucket:      settings.Platform.Bucket,
 		Credentials: provider(settings.Platform),
-		HTTPClient:  client,
+		HTTPClient:  c.platform,
 		Timeout:     settings.Platform.Timeout(),
 	})
 }
 
-func newWorkers(client *http.Client) dispatcher.Client { return dispatcher.NewHTTP(client) }
+func newWorkers(c clients) dispatcher.Client { return dispatcher.NewHTTP(c.workers) }
 
-func newList(settings configurer.Settings, client *http.Client) lister.List {
-	return lister.NewHTTP(client, settings.Platform.ListURL)
+func newList(settings configurer.Settings, c clients) lister.List {
+	return lister.NewHTTP(c.platform, settings.Platform.ListURL)
 }
 
 // newID returns an ID that nobody else has.
@@ -148,22 +168,25 @@
 	return hex.EncodeToString(id[:])
 }
 
-func newRouter(settings configurer.Settings, table storer.Table, objects storer.Objects, workers dispatcher.Client, list lister.List, logger *slog.Logger, t trace.Tracer) *router.Router {
+func newRouter(settings configurer.Settings, table storer.Table, objects storer.Objects, workers dispatcher.Client, list lister.List, logger *slog.Logger, t trace.Tracer, registry metrics.Registry) *router.Router {
+	dial := counter.Counting(registry, "peers", (&net.Dialer{}).DialContext)
 	return router.New(router.Options{
 		Entry:       settings.Entry,
 		Incarnation: newID(),
 		Zone:        settings.Zone,
 		Address:     settings.PeerAddress,
-		Dial:        messenger.DialTCP,
-		Table:       table,
-		Objects:     objects,
-		Workers:     workers,
-		List:        list,
-		Random:      mathrand.Float64,
-		NewID:       newID,
-		Checked:     settings.CheckInvariants,
-		Logger:      logger,
-		Tracer:      owner.Tracer{Tracer: t},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, "tcp", address)
+		},
+		Table:   table,
+		Objects: objects,
+		Workers: workers,
+		List:    list,
+		Random:  mathrand.Float64,
+		NewID:   newID,
+		Checked: settings.CheckInvariants,
+		Logger:  logger,
+		Tracer:  owner.Tracer{Tracer: t},
 	})
 }
 
@@ -205,7 +228,7 @@
 	return v.Document
 }
 
-func runPeerServer(lifecycle fx.Lifecycle, settings configurer.Settings, r *router.Router) {
+func runPeerServer(lifecycle fx.Lifecycle, settings configurer.Settings, r *router.Router, registry metrics.Registry) {
 	var cleanUp func()
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
@@ -213,7 +236,7 @@
 			if err != nil {
 				return err
 			}
-			cleanUp = messenger.Serve(listener, r.Handlers())
+			cleanUp = messenger.Serve(counter.Listener(registry, "peers", listener), r.Handlers())
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- /dev/null
+++ b/counter/doc.go
@@ -0,0 +1,2 @@
+// Package counter counts what a process sends, receives and uses.
+package counter
--- a/dispatcher/http.go
+++ b/dispatcher/http.go
@@ -66,6 +66,7 @@
 		return answer, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("User-Agent", "")
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	response, err := h.client.Do(request)
 	if err != nil {
--- a/dispatcher/protocol.go
+++ b/dispatcher/protocol.go
@@ -132,7 +132,9 @@
 
 // SyncResponse tells what changed after Since; Incarnation changes when the worker has restarted and forgotten.
 type SyncResponse struct {
-	Worker   scheduler.Worker `json:"worker"`
+	Incarnation string `json:"incarnation"`
+	// Worker is only told to those who do not know the incarnation.
+	Worker   scheduler.Worker `json:"worker,omitzero"`
 	Leaving  bool             `json:"leaving,omitempty"`
 	Epoch    int64            `json:"epoch"`
 	Sequence int64            `json:"sequence"`
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -148,6 +150,14 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	data, _ := json.Marshal(vms)
+	sum := sha256.Sum256(data)
+	etag := `"` + hex.EncodeToString(sum[:8]) + `"`
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, vms)
 }
 
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -399,10 +399,13 @@
 		since = 0
 	}
 	response := dispatcher.SyncResponse{
-		Worker:   w.info,
-		Leaving:  w.Get().Leaving,
-		Epoch:    w.epoch,
-		Sequence: w.sequence,
+		Incarnation: w.info.Incarnation,
+		Leaving:     w.Get().Leaving,
+		Epoch:       w.epoch,
+		Sequence:    w.sequence,
+	}
+	if r.Incarnation != w.info.Incarnation {
+		response.Worker = w.info
 	}
 	var list []*task
 	for _, t := range w.tasks {
--- a/faker/workerhttp.go
+++ b/faker/workerhttp.go
@@ -64,6 +64,7 @@
 	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	rw.Header()["Date"] = nil
 	if w.truncate() {
 		data = data[:len(data)/2]
 	}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -37,27 +38,62 @@
 	listTimeout  = 2 * time.Second
 )
 
-// NewHTTP returns a list that is read as a JSON array from the URL.
+// NewHTTP returns a list that is read as a JSON array from the URL, and only when its entity tag has changed.
 func NewHTTP(client *http.Client, url string) List {
-	return func(ctx context.Context) ([]VM, error) {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-		if err != nil {
-			return nil, fmt.Errorf("ask for VM list: %w", err)
-		}
-		response, err := client.Do(request)
-		if err != nil {
-			return nil, fmt.Errorf("ask for VM list: %w", err)
-		}
-		defer func() { _ = response.Body.Close() }()
-		if response.StatusCode != http.StatusOK {
-			return nil, fmt.Errorf("ask for VM list: status %d", response.StatusCode)
-		}
-		var list []VM
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
-			return nil, fmt.Errorf("decode VM list: %w", err)
-		}
-		return list, nil
+	c := &cached{client: client, url: url}
+	return c.list
+}
+
+// cached keeps the last list with its entity tag.
+type cached struct {
+	client *http.Client
+	url    string
+
+	mu   sync.Mutex
+	etag string
+	vms  []VM
+}
+
+func (c *cached) list(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("ask for VM list: %w", err)
+	}
+	etag, known := c.last()
+	if etag != "" {
+		request.Header.Set("If-None-Match", etag)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask for VM list: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return known, nil
+	case http.StatusOK:
+		return c.read(response)
+	default:
+		return nil, fmt.Errorf("ask for VM list: status %d", response.StatusCode)
+	}
+}
+
+func (c *cached) last() (string, []VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.etag, c.vms
+}
+
+func (c *cached) read(response *http.Response) ([]VM, error) {
+	var list []VM
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, fmt.Errorf("decode VM list: %w", err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.etag = response.Header.Get("ETag")
+	c.vms = list
+	return list, nil
 }
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -23,16 +23,6 @@
 // Dial opens a connection to an address of the form IP:port.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP opens a TCP connection.
-func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", address, err)
-	}
-	return conn, nil
-}
-
 // Peer is the way to one other entry; a connection that has gone silent is replaced.
 type Peer struct {
 	address string
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -163,6 +163,8 @@
 	}
 	w.seen = true
 	w.response = response
+	w.info = response.Worker
+	w.incarnation = response.Incarnation
 	w.leaving = response.Leaving || vm.Leaving
 	o.apply(scheduler.WorkerSeen{Worker: o.describe(w, response), Leaving: w.leaving})
 }
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -48,6 +48,7 @@
 	// The fields below belong to the watch's own task.
 	since       int64
 	incarnation string
+	info        scheduler.Worker
 	heardAt     time.Time
 	renewedAt   time.Time
 }
@@ -167,7 +168,11 @@
 	}
 	w.heardAt = time.Now()
 	w.since = response.Sequence
-	w.incarnation = response.Worker.Incarnation
+	w.incarnation = response.Incarnation
+	if response.Worker.ID != "" {
+		w.info = response.Worker
+	}
+	response.Worker = w.info
 	w.dropForgets(len(request.Forget))
 	return o.post(func() { o.takeSync(w, response) })
 }
--- /dev/null
+++ b/server/hop_bench_test.go
@@ -0,0 +1,90 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/demonstrator"
+	"github.com/snipelift/snipelift/dispatcher"
+	"github.com/snipelift/snipelift/examples"
+	"github.com/snipelift/snipelift/packer"
+	"github.com/snipelift/snipelift/scheduler"
+	"github.com/snipelift/snipelift/server"
+)
+
+// BenchmarkHop compares a small request through an entry with the same task asked of a worker directly, in one run, and reports p50, p99 and their ratios.
+func BenchmarkHop(b *testing.B) {
+	s, cleanUp, err := demonstrator.Start(context.Background(), examples.Berkep, io.Discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanUp()
+	vms, err := s.Platform.List(context.Background())
+	if err != nil {
+		b.Fatal(err)
+	}
+	direct := dispatcher.NewHTTP(&http.Client{})
+	var hop, call []float64
+	i := 0
+	for b.Loop() {
+		i++
+		hop = append(hop, timed(b, func() error { return throughEntry(s, i) }))
+		call = append(call, timed(b, func() error { return throughWorker(direct, vms[40].Address, i) }))
+	}
+	report(b, hop, call)
+}
+
+func timed(b *testing.B, f func() error) float64 {
+	b.Helper()
+	began := time.Now()
+	if err := f(); err != nil {
+		b.Fatal(err)
+	}
+	return float64(time.Since(began).Microseconds())
+}
+
+func throughEntry(s *demonstrator.Service, i int) error {
+	entry := s.Callers[0]
+	entry.Organisation = "unions"
+	request := server.SubmitRequest{Class: "lookup", Shape: packer.Shape{Accelerators: 1}, Payload: []byte(`{"runMillis":0}`)}
+	_, err := entry.Submit(context.Background(), fmt.Sprintf("hop-%d", i), request, 10*time.Second)
+	return err
+}
+
+// throughWorker reserves, starts and polls a task until it has ended.
+func throughWorker(c dispatcher.Client, address string, i int) error {
+	ctx := context.Background()
+	attempt := dispatcher.Attempt{Job: fmt.Sprintf("direct-%d", i), Number: 1, Direct: "benchmark"}
+	task := dispatcher.Task{
+		Spec:    scheduler.Job{ID: attempt.Job, Shape: packer.Shape{Accelerators: 1, Within: packer.WithinWorker}},
+		Payload: []byte(`{"runMillis":0}`),
+	}
+	if _, err := c.Reserve(ctx, address, dispatcher.ReserveRequest{Attempt: attempt, Task: task, ExpireSeconds: 5, AnyAccelerators: true}); err != nil {
+		return err
+	}
+	for {
+		status, err := c.Start(ctx, address, dispatcher.StartRequest{Attempt: attempt})
+		if err != nil || status.State.Final() {
+			return err
+		}
+	}
+}
+
+func report(b *testing.B, hop, call []float64) {
+	b.Helper()
+	slices.Sort(hop)
+	slices.Sort(call)
+	at := func(list []float64, share float64) float64 { return list[int(share*float64(len(list)-1))] }
+	for _, q := range []struct {
+		name  string
+		share float64
+	}{{"p50", 0.5}, {"p99", 0.99}} {
+		b.ReportMetric(at(hop, q.share), q.name+"-us")
+		b.ReportMetric(at(hop, q.share)/at(call, q.share), q.name+"-ratio")
+	}
+}
