Let an organisation's later work make room within its own cells

A job that a worker refused was sent to the same worker again at once. Change: later classes, and jobs on one worker for gangs, make room in their own organisation's cells; a refused job shuns the worker until it has run.

--- a/measurer/baseline.go
+++ b/measurer/baseline.go
@@ -336,9 +336,17 @@
 // reserve returns the workers that, by declared times, are clear for the job first, and when.
 func (p *plain) reserve(j *plainJob) (map[*plainWorker]bool, time.Time) {
 	members, each := j.spec.Shape.Members(p.unit)
+	byWorker := map[*plainWorker][]*plainJob{}
+	for _, r := range p.running {
+		for _, w := range r.workers {
+			byWorker[w] = append(byWorker[w], r)
+		}
+	}
 	clearAt := map[*plainWorker]time.Time{}
 	for _, w := range p.workers {
-		clearAt[w] = p.clearOf(w, each)
+		if p.fits(w, j) {
+			clearAt[w] = p.clearOf(w, each, byWorker[w])
+		}
 	}
 	groups := map[string][]*plainWorker{}
 	for _, w := range p.workers {
@@ -375,13 +383,13 @@
 }
 
 // clearOf returns when the worker has each accelerators free, by declared times.
-func (p *plain) clearOf(w *plainWorker, each int) time.Time {
+func (p *plain) clearOf(w *plainWorker, each int, jobs []*plainJob) time.Time {
 	type end struct {
 		at    time.Time
 		count int
 	}
 	var ends []end
-	for _, j := range p.running {
+	for _, j := range jobs {
 		for i, other := range j.workers {
 			if other == w {
 				at := j.started.Add(j.spec.Declared)
@@ -415,16 +423,20 @@
 	}
 	return newPlain(d, byClass, func(p *plain) {
 		failed := map[packer.Shape]bool{}
+		used := p.used()
 		for _, j := range slices.Clone(p.queue) {
-			if p.waitsForStore(j) {
+			if p.waitsForStore(j) || failed[j.spec.Shape] && j.spec.Shape.Accelerators == 0 {
 				continue
 			}
-			within := p.usedBy(j.spec.Organisation)+j.spec.Shape.Accelerators <= quotas[j.spec.Organisation]
+			within := used[j.spec.Organisation]+j.spec.Shape.Accelerators <= quotas[j.spec.Organisation]
 			if !within && (!j.class.Borrows || failed[j.spec.Shape]) {
 				continue
 			}
 			if workers := p.find(j, true, anyWorker); workers != nil {
 				j.borrowed = !within
+				if within {
+					used[j.spec.Organisation] += j.spec.Shape.Accelerators
+				}
 				p.start(j, workers)
 				continue
 			}
@@ -436,11 +448,12 @@
 	}).policy("quota by count")
 }
 
-func (p *plain) usedBy(organisation string) int {
-	used := 0
+// used returns the accelerators that each organisation uses on its own account.
+func (p *plain) used() map[string]int {
+	used := map[string]int{}
 	for _, j := range p.running {
-		if j.spec.Organisation == organisation && !j.borrowed {
-			used += j.spec.Shape.Accelerators
+		if !j.borrowed {
+			used[j.spec.Organisation] += j.spec.Shape.Accelerators
 		}
 	}
 	return used
--- a/measurer/driver.go
+++ b/measurer/driver.go
@@ -228,6 +228,9 @@
 
 // covered reports whether everything that the organisation asks for at the moment fits into its guarantees.
 func (d *driver) covered(l *life) bool {
+	if l.job.Shape.Accelerators == 0 {
+		return false
+	}
 	o, _, _ := d.scenario.Document.Organisation(l.job.Organisation)
 	unit := d.scenario.Document.Unit()
 	ledger := packer.NewLedger(unit)
--- a/router/direct.go
+++ b/router/direct.go
@@ -34,6 +34,7 @@
 		if !ok {
 			return recorder.Answer{}, false
 		}
+		r.forgetDirect(ctx, vm, attempt)
 		answer := directAnswer(record, vm, status)
 		return r.recordDirect(ctx, answer), true
 	}
@@ -83,6 +84,14 @@
 	return dispatcher.Status{}, false
 }
 
+// forgetDirect lets the worker forget a task whose result has arrived.
+func (r *Router) forgetDirect(ctx context.Context, vm lister.VM, attempt dispatcher.Attempt) {
+	_, err := r.options.Workers.Sync(ctx, vm.Address, dispatcher.SyncRequest{Forget: []dispatcher.Attempt{attempt}})
+	if err != nil {
+		r.options.Logger.Debug("task not forgotten", "job", attempt.Job, "worker", vm.ID, "error", err)
+	}
+}
+
 func directAnswer(record recorder.Open, vm lister.VM, s dispatcher.Status) recorder.Answer {
 	now := time.Now()
 	reason := scheduler.Reason{Rule: scheduler.RuleDirect, Worker: vm.ID}
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -50,7 +50,7 @@
 func (s *Scheduler) newJob(spec Job) *job {
 	s.sequence++
 	spec.Shape = spec.Shape.WithDefaults()
-	j := &job{Job: spec, sequence: s.sequence, failedOn: map[string]bool{}}
+	j := &job{Job: spec, sequence: s.sequence, failedOn: map[string]bool{}, shunned: map[string]bool{}}
 	class, rank, ok := s.document.Class(spec.Class)
 	j.class = class
 	j.rank = rank
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -21,6 +21,7 @@
 	}
 	j.phase = phaseRunning
 	j.started = s.now
+	clear(j.shunned)
 	if limit := j.class.RunLimit(); limit > 0 {
 		s.alarms.set(s.now.Add(limit), j.ID, alarmRunLimit)
 	}
@@ -37,6 +38,9 @@
 		s.end(j, OutcomeCancelled, NotRun, j.stop)
 		return
 	}
+	if e.Worker != "" {
+		j.shunned[e.Worker] = true
+	}
 	s.requeue(j, refusedDelay, Reason{Rule: RuleNotStarted, Worker: e.Worker})
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -87,12 +87,16 @@
 		if c.used != nil {
 			room = c.spareOn(w)
 		}
-		if room < each || s.avoids(j, w) {
+		own, ok := s.ownVictims(j, c, w, each-room)
+		if !ok || s.avoids(j, w) {
 			continue
 		}
-		if o, ok := s.optionFor(j, w, each, true); ok {
+		if o, ok := s.optionFor(j, w, each, true, own...); ok {
 			o.score.block = c.blockAround(w)
-			o.score.waste = room - each
+			if len(own) > 0 {
+				o.score.block = c.members * c.each
+			}
+			o.score.waste = max(0, room-each)
 			options = append(options, o)
 		}
 	}
@@ -180,9 +184,15 @@
 }
 
 // optionFor returns what it costs to put each accelerators of the job on the worker; false if that needs work that may not be moved.
-func (s *Scheduler) optionFor(j *job, w *worker, each int, guaranteed bool) (option, bool) {
+func (s *Scheduler) optionFor(j *job, w *worker, each int, guaranteed bool, own ...*job) (option, bool) {
 	o := option{worker: w}
 	available := w.available()
+	for _, v := range own {
+		available += countOn(v, w)
+		o.score.lost += s.lostWork(v)
+	}
+	o.victims = own
+	o.score.touched = len(own)
 	o.score.leftover = max(0, available-each)
 	o.score.broken = s.wholeFree[w.rack]
 	if s.reservedForOther(w, j) {
@@ -195,9 +205,9 @@
 	if !ok {
 		return o, false
 	}
-	o.victims = victims
-	o.score.lost = lost
-	o.score.touched = len(victims)
+	o.victims = append(victims, own...)
+	o.score.lost += lost
+	o.score.touched = len(o.victims)
 	return o, true
 }
 
@@ -296,9 +306,12 @@
 	return s.combine(options, members, each)
 }
 
-// avoids reports whether the job has failed on the worker and there are others.
+// avoids reports whether the job has failed on the worker, or was refused there since it last ran, and there are others.
 func (s *Scheduler) avoids(j *job, w *worker) bool {
-	return j.failedOn[w.ID] && len(j.failedOn) < len(s.order)
+	if j.failedOn[w.ID] && len(j.failedOn) < len(s.order) {
+		return true
+	}
+	return j.shunned[w.ID] && len(j.shunned) <= len(s.order)/2
 }
 
 // planSpare returns a place outside of what all guarantees need, for work that cannot be moved, or nil.
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/snipelift/snipelift/packer"
 )
 
 // checkpointCost is the work lost by stopping a job at a checkpoint and starting it again.
@@ -45,6 +47,32 @@
 	return s.cheapest(candidates, w, need)
 }
 
+// ownVictims returns work of the job's own organisation that makes room for it in their cell, or false if there is not enough.
+//
+// Later classes make room for earlier ones, and jobs on one worker for gangs, so
+// that small work which overflowed into a large cell does not keep it from its purpose.
+func (s *Scheduler) ownVictims(j *job, c *cell, w *worker, need int) ([]*job, bool) {
+	if need <= 0 {
+		return nil, true
+	}
+	var candidates []*job
+	for _, v := range w.sortedJobs() {
+		if v.cell == c && makesRoomFor(v, j) {
+			candidates = append(candidates, v)
+		}
+	}
+	victims, _, ok := s.cheapest(candidates, w, need)
+	return victims, ok
+}
+
+func makesRoomFor(v, j *job) bool {
+	if !v.class.Reclaimable() || v.phase == phaseStopping {
+		return false
+	}
+	smaller := v.Shape.Within == packer.WithinWorker && j.Shape.Within == packer.WithinRack
+	return v.rank > j.rank || (v.rank == j.rank && smaller)
+}
+
 // cheapest takes candidates by lost work for each accelerator freed, then leaves out those that turn out not to help.
 func (s *Scheduler) cheapest(candidates []*job, w *worker, need int) ([]*job, float64, bool) {
 	price := func(v *job) float64 { return s.lostWork(v) / float64(countOn(v, w)) }
@@ -84,6 +112,10 @@
 			s.requeue(v, 0, reason)
 			continue
 		}
+		if v.room == roomGuaranteed {
+			s.leaveRoom(v)
+			v.room = roomLent
+		}
 		s.stop(v, reason, v.class.Checkpointable)
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -497,3 +497,36 @@
 		t.Fatalf("ended %d of 3000", ended)
 	}
 }
+
+func TestSmallWorkThatOverflowedIntoALargeCellMakesRoomForTheGang(t *testing.T) {
+	d := testDocument()
+	d.Organisations = d.Organisations[:1]
+	d.Organisations[0].Guarantees = []documenter.Guarantee{{Shape: rackShape(32), Count: 2}}
+	b := newBench(t, d)
+	for i := range 64 {
+		b.run(fmt.Sprintf("small-%02d", i), "unions", "imputation", workerShape(1))
+	}
+	decisions := b.submit("gang", "unions", "weighting", rackShape(32))
+	stopped := all[Stopped](decisions)
+	if len(stopped) == 0 {
+		t.Fatal("the organisation's own small work kept its gang from its shape")
+	}
+	var last []Decision
+	for _, v := range stopped {
+		last = append(last, b.after(time.Second, AttemptStopped{ID: v.ID, Attempt: v.Attempt})...)
+	}
+	if s := all[Started](last); len(s) == 0 || s[0].Job.ID != "gang" {
+		t.Fatalf("decisions %+v, want the gang to start first", last)
+	}
+}
+
+func TestARefusedJobTriesAnotherWorker(t *testing.T) {
+	b := newBench(t, testDocument())
+	first := find[Started](t, b.submit("j", "researchers", "lookup", workerShape(1)))
+	refusing := first.Members[0].Worker
+	b.apply(AttemptRefused{ID: "j", Attempt: 1, Worker: refusing})
+	second := find[Started](t, b.after(refusedDelay, Ticked{}))
+	if second.Members[0].Worker == refusing {
+		t.Fatalf("asked %s again at once", refusing)
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -56,6 +56,7 @@
 	checkpoint bool
 	mayHaveRun bool
 	failedOn   map[string]bool
+	shunned    map[string]bool
 	notBefore  time.Time
 	reason     Reason
 	stop       Reason
