--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -205,7 +205,7 @@
 	if !ok {
 		return o, false
 	}
-	o.victims = append(victims, own...)
+	o.victims = slices.Concat(victims, own)
 	o.score.lost += lost
 	o.score.touched = len(o.victims)
 	return o, true
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -14,7 +14,7 @@
 
 # run WORKERS ENTRIES prints the rows of one fleet.
 run() {
-  local workers=$1 entries=$2 port=$((20000 + RANDOM % 20000)) peers=() i pids=()
+  local workers=$1 entries=$2 port=$((10000 + RANDOM % 8000)) peers=() i pids=()
   for i in $(seq 1 "$entries"); do peers+=(--entry "127.0.0.1:$((port + 100 + i))"); done
   "$work/standin" --platform "127.0.0.1:$port" --workers "127.0.0.1:$((port + 200))" \
     --racks "$((workers / 8))" --workers-per-rack 8 "${peers[@]}" >/dev/null &
