Wait in one place, and list the document's history

Cause: the same wait stood in four packages, two commands of the worker stand-in shared all but a line, and the history of the document had no command. Change: package sleeper; one frame for the stand-in's commands; document history.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/rcrowley/go-metrics"
@@ -291,7 +293,7 @@
 		OnStop: func(ctx context.Context) error {
 			r.Drain()
 			logger.Info("draining")
-			waitFor(ctx, settings.Drain())
+			sleeper.Sleep(ctx, settings.Drain())
 			close(d)
 			if err := httpServer.Shutdown(ctx); err != nil {
 				return fmt.Errorf("shut down: %w", err)
@@ -300,12 +302,3 @@
 		},
 	})
 }
-
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/snipelift/snipelift/scheduler"
 	"github.com/snipelift/snipelift/server"
+	"github.com/snipelift/snipelift/spreader"
 )
 
 var (
@@ -121,6 +122,13 @@
 	return answer.Version, err
 }
 
+// History returns the accepted versions of the document, the oldest first.
+func (c Client) History(ctx context.Context) ([]spreader.Edit, error) {
+	var edits []spreader.Edit
+	_, err := c.do(ctx, http.MethodGet, "/v1/document/history", nil, nil, 0, &edits)
+	return edits, err
+}
+
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
--- a/commands/document.go
+++ b/commands/document.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -14,7 +15,7 @@
 func newDocument() (*flaggy.Subcommand, []command) {
 	sub := flaggy.NewSubcommand("document")
 	sub.Description = "read, check and edit the service's document"
-	list := []command{newDocumentGet(), newDocumentPut(), newDocumentCheck()}
+	list := []command{newDocumentGet(), newDocumentPut(), newDocumentCheck(), newDocumentHistory()}
 	for _, cmd := range list {
 		sub.AttachSubcommand(cmd.sub, 1)
 	}
@@ -114,3 +115,24 @@
 	}
 	return data, nil
 }
+
+func newDocumentHistory() command {
+	sub := flaggy.NewSubcommand("history")
+	sub.Description = "list who put which version in force and when"
+	var t target
+	t.addFlags(sub)
+	return command{sub: sub, run: func(ctx context.Context, c console) (int, error) {
+		client, err := t.client()
+		if err != nil {
+			return 0, err
+		}
+		edits, err := client.History(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, e := range edits {
+			c.printf("version %d  %s  %s\n", e.Version, e.At.UTC().Format(time.RFC3339), e.By)
+		}
+		return ExitDone, nil
+	}}
+}
--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/examples"
 	"github.com/snipelift/snipelift/faker"
 	"github.com/snipelift/snipelift/packer"
@@ -104,7 +106,7 @@
 			i := next
 			next++
 			group.Go(func() {
-				pause(ctx, w.after)
+				sleeper.Sleep(ctx, w.after)
 				rows[i] = s.send(ctx, w, i)
 				done.Add(1)
 			})
@@ -120,15 +122,6 @@
 	return rows, ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // send submits one job through one of the entries and asks for the reasons through the next.
 func (s *Service) send(ctx context.Context, w wave, i int) Row {
 	row := Row{Service: s.Document.Service, Organisation: w.organisation, Class: w.class, Shape: w.shape}
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -215,21 +215,28 @@
 
 // Start runs a reserved attempt.
 func (w *Worker) Start(ctx context.Context, r dispatcher.StartRequest) (dispatcher.Status, error) {
+	return w.command(ctx, r.Epoch, r.Attempt, func(t *task) {
+		if t.status.State == dispatcher.StateReserved {
+			w.run(t)
+		}
+	})
+}
+
+// command carries out a command on a task; one that is not known is fenced off.
+func (w *Worker) command(ctx context.Context, epoch int64, a dispatcher.Attempt, f func(t *task)) (dispatcher.Status, error) {
 	if err := w.before(ctx); err != nil {
 		return dispatcher.Status{}, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.obey(r.Epoch, r.Attempt); err != nil {
+	if err := w.obey(epoch, a); err != nil {
 		return dispatcher.Status{}, err
 	}
-	t := w.tasks[r.Attempt]
+	t := w.tasks[a]
 	if t == nil {
-		t = w.fence(r.Attempt)
-	}
-	if t.status.State == dispatcher.StateReserved {
-		w.run(t)
+		t = w.fence(a)
 	}
+	f(t)
 	return w.after(t.status)
 }
 
@@ -283,20 +290,7 @@
 
 // Stop ends an attempt, or fences it off.
 func (w *Worker) Stop(ctx context.Context, r dispatcher.StopRequest) (dispatcher.Status, error) {
-	if err := w.before(ctx); err != nil {
-		return dispatcher.Status{}, err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err := w.obey(r.Epoch, r.Attempt); err != nil {
-		return dispatcher.Status{}, err
-	}
-	t := w.tasks[r.Attempt]
-	if t == nil {
-		return w.after(w.fence(r.Attempt).status)
-	}
-	w.halt(t, r.Checkpoint)
-	return w.after(t.status)
+	return w.command(ctx, r.Epoch, r.Attempt, func(t *task) { w.halt(t, r.Checkpoint) })
 }
 
 func (w *Worker) halt(t *task, checkpoint bool) {
--- a/owner/answer.go
+++ b/owner/answer.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/recorder"
 	"github.com/snipelift/snipelift/scheduler"
@@ -114,7 +116,7 @@
 			return
 		}
 		o.options.Logger.Debug("answer not recorded yet", "job", answer.Job.ID, "error", err)
-		sleep(ctx, time.Duration(float64(pause)*(0.5+o.options.Random())))
+		sleeper.Sleep(ctx, time.Duration(float64(pause)*(0.5+o.options.Random())))
 		pause = min(pause*2, maxCommitPause)
 	}
 }
--- a/owner/attempt.go
+++ b/owner/attempt.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/recorder"
 	"github.com/snipelift/snipelift/scheduler"
@@ -212,7 +214,7 @@
 			o.post(func() { o.hear(worker, status) })
 			return
 		}
-		sleep(ctx, commandPause)
+		sleeper.Sleep(ctx, commandPause)
 	}
 }
 
@@ -230,15 +232,6 @@
 	return err == nil && open
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // checkEpoch notices that a worker has obeyed a later owner.
 func (o *Owner) checkEpoch(err error) {
 	if errors.Is(err, dispatcher.ErrStaleEpoch) && o.options.Superseded != nil {
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/lister"
 	"github.com/snipelift/snipelift/recorder"
@@ -106,7 +108,7 @@
 			return nil, false
 		}
 		o.options.Logger.Warn("open jobs not readable", "error", err)
-		sleep(o.ctx, takeOverPause)
+		sleeper.Sleep(o.ctx, takeOverPause)
 	}
 }
 
@@ -367,7 +369,7 @@
 				if err == nil {
 					return
 				}
-				sleep(ctx, commandPause)
+				sleeper.Sleep(ctx, commandPause)
 			}
 		})
 	}
@@ -397,7 +399,7 @@
 
 // leaveLimboLater decides about jobs in limbo once every lease from before the takeover has lapsed.
 func (o *Owner) leaveLimboLater(ctx context.Context) {
-	sleep(ctx, dispatcher.TaskLease+leaseMargin)
+	sleeper.Sleep(ctx, dispatcher.TaskLease+leaseMargin)
 	o.post(func() { o.settleLimbo(func(*limbo) bool { return true }) })
 }
 
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/lister"
 	"github.com/snipelift/snipelift/scheduler"
@@ -88,7 +90,7 @@
 		if err == nil {
 			o.post(func() { o.takeList(vms) })
 		}
-		sleep(ctx, listPause)
+		sleeper.Sleep(ctx, listPause)
 	}
 }
 
@@ -144,7 +146,7 @@
 		if time.Since(w.renewedAt) >= dispatcher.TaskLease+leaseMargin {
 			o.post(func() { o.lose(w) })
 		}
-		sleep(ctx, syncPause)
+		sleeper.Sleep(ctx, syncPause)
 	}
 }
 
--- a/owner/writer.go
+++ b/owner/writer.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/recorder"
 	"github.com/snipelift/snipelift/storer"
 )
@@ -70,7 +72,7 @@
 // probe looks for the table while it is away.
 func (w *writer) probe(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(float64(breakerPause)*(0.5+w.options.Random())))
+		sleeper.Sleep(ctx, time.Duration(float64(breakerPause)*(0.5+w.options.Random())))
 		if !w.isAway() {
 			continue
 		}
--- a/router/direct.go
+++ b/router/direct.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/lister"
 	"github.com/snipelift/snipelift/recorder"
@@ -79,7 +81,7 @@
 		if err == nil && status.State.Final() {
 			return status, status.State == dispatcher.StateSucceeded
 		}
-		pause(ctx, directPoll)
+		sleeper.Sleep(ctx, directPoll)
 	}
 	return dispatcher.Status{}, false
 }
@@ -134,7 +136,7 @@
 // keepAlive renews the leases of running work while neither the owner nor the table can be reached, so that an outage does not stop it.
 func (r *Router) keepAlive(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(float64(keepAlivePause)*(0.5+r.options.Random())))
+		sleeper.Sleep(ctx, time.Duration(float64(keepAlivePause)*(0.5+r.options.Random())))
 		if _, fresh := r.leaser.Current(); fresh || r.ownerAnswers(ctx) {
 			continue
 		}
--- a/router/peers.go
+++ b/router/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/lister"
 	"github.com/snipelift/snipelift/messenger"
 	"github.com/snipelift/snipelift/owner"
@@ -75,7 +77,7 @@
 		for _, address := range addresses[:min(len(addresses), pingedPeers)] {
 			r.spawn(func() { r.ping(ctx, address) })
 		}
-		pause(ctx, time.Duration(float64(pingPause)*(0.8+0.4*r.options.Random())))
+		sleeper.Sleep(ctx, time.Duration(float64(pingPause)*(0.8+0.4*r.options.Random())))
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/leaser"
 	"github.com/snipelift/snipelift/lister"
@@ -152,7 +154,7 @@
 		if v, err := r.spreader.Current(); err == nil {
 			return v, true
 		}
-		pause(ctx, documentPause)
+		sleeper.Sleep(ctx, documentPause)
 	}
 	return spreader.Version{}, false
 }
@@ -172,15 +174,6 @@
 	callTimeout = 3 * time.Second
 )
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // followDocument gives each new version to the owner on this entry.
 func (r *Router) followDocument(ctx context.Context) {
 	for {
@@ -278,7 +271,7 @@
 		if ctx.Err() != nil {
 			return scheduler.View{}, fmt.Errorf("%w: %w", ErrNoOwner, ctx.Err())
 		}
-		pause(ctx, routePause)
+		sleeper.Sleep(ctx, routePause)
 	}
 }
 
--- a/router/submit.go
+++ b/router/submit.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/snipelift/snipelift/sleeper"
+
 	"github.com/snipelift/snipelift/documenter"
 	"github.com/snipelift/snipelift/messenger"
 	"github.com/snipelift/snipelift/owner"
@@ -49,7 +51,7 @@
 		if ctx.Err() != nil {
 			return r.giveUp(record, sent), nil
 		}
-		pause(ctx, routePause)
+		sleeper.Sleep(ctx, routePause)
 	}
 }
 
@@ -143,7 +145,7 @@
 			return last, fmt.Errorf("%w: %w", ErrNoOwner, ctx.Err())
 		}
 		if err != nil {
-			pause(ctx, routePause)
+			sleeper.Sleep(ctx, routePause)
 		}
 	}
 }
@@ -208,6 +210,6 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("cancel: %w", err)
 		}
-		pause(ctx, routePause)
+		sleeper.Sleep(ctx, routePause)
 	}
 }
--- /dev/null
+++ b/sleeper/sleeper.go
@@ -0,0 +1,16 @@
+package sleeper
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep returns after d, or as soon as the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
