Stop what an earlier owner left behind, and bound what an owner keeps

Cause: reading the code for failure paths that only look handled. An idempotent attempt on a worker that did not answer a takeover had the same number as the new owner's own, so that it was ignored and kept its accelerators to the end. A quarantined worker was back in use after a silence. Answers in memory could take 64 MB, alarms of ended jobs were kept to their limits. No owner looked at its lease before acting. Change: such a task is a stray and is stopped; silence keeps the quarantine; answers are bounded by 2 MB, alarms are cleared out; a lease that lapsed while the table answered keeps its owner from dispatching; slow readers are cut off.

--- a/faker/worker.go
+++ b/faker/worker.go
@@ -420,3 +420,16 @@
 	}
 	return response
 }
+
+// Running returns how many tasks run now.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, t := range w.tasks {
+		if t.status.State == dispatcher.StateRunning {
+			n++
+		}
+	}
+	return n
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -75,11 +75,18 @@
 	return l.lease, !l.seenAt.IsZero() && time.Since(l.seenAt) < l.options.Duration
 }
 
-// Held reports whether this entry holds the lease now, by the monotonic clock.
-func (l *Leaser) Held() bool {
+// MayAct reports, by the monotonic clock, whether this entry holds the lease, or held it last and the table has not answered since.
+//
+// Another entry can claim a lapsed lease only through the table. An owner that is
+// cut off or paused may be wrong about that; the epoch that its commands and writes
+// carry is what keeps it from harm then.
+func (l *Leaser) MayAct() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.epoch > 0 && time.Now().Before(l.heldUntil)
+	if l.epoch == 0 {
+		return false
+	}
+	return time.Now().Before(l.heldUntil) || !l.seenAt.After(l.heldUntil)
 }
 
 // Nudge makes the leaser look at the lease at once.
--- a/owner/answer.go
+++ b/owner/answer.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// answerCacheSize is the number of answers kept in memory.
-	answerCacheSize = 4096
+	// answerCacheBytes bounds the answers kept in memory.
+	answerCacheBytes = 2 << 20
+	// answerBytes is what an answer takes beside its result.
+	answerBytes = 1 << 10
 	// firstCommitPause and maxCommitPause bound the time between tries to record an answer.
 	firstCommitPause = 200 * time.Millisecond
 	maxCommitPause   = 5 * time.Second
@@ -26,13 +28,14 @@
 
 // answerCache keeps the latest answers; the table has them all.
 type answerCache struct {
-	size  int
+	limit int
+	bytes int
 	byID  map[string]recorder.Answer
 	order []string
 }
 
-func newAnswerCache(size int) *answerCache {
-	return &answerCache{size: size, byID: map[string]recorder.Answer{}}
+func newAnswerCache(limit int) *answerCache {
+	return &answerCache{limit: limit, byID: map[string]recorder.Answer{}}
 }
 
 func (c *answerCache) get(id string) (recorder.Answer, bool) {
@@ -46,12 +49,17 @@
 	}
 	c.byID[answer.Job.ID] = answer
 	c.order = append(c.order, answer.Job.ID)
-	if len(c.order) > c.size {
-		delete(c.byID, c.order[0])
+	c.bytes += costOf(answer)
+	for c.bytes > c.limit && len(c.order) > 1 {
+		oldest := c.order[0]
+		c.bytes -= costOf(c.byID[oldest])
+		delete(c.byID, oldest)
 		c.order = c.order[1:]
 	}
 }
 
+func costOf(answer recorder.Answer) int { return answerBytes + len(answer.Result) }
+
 // whole reports whether a result arrived as the worker sent it.
 func whole(s dispatcher.Status) bool {
 	sum := sha256.Sum256(s.Result)
--- a/owner/attempt.go
+++ b/owner/attempt.go
@@ -77,6 +77,11 @@
 func (d *dispatch) run(ctx context.Context) {
 	ctx, end := d.owner.options.Tracer.span(ctx, "owner.dispatch", d.spec.Job.ID, d.record.Traceparent)
 	defer end()
+	if !d.owner.options.MayAct() {
+		d.owner.options.Superseded()
+		d.refuse("")
+		return
+	}
 	if !d.traits.idempotent && !d.recordAttempt(ctx) {
 		d.refuse("")
 		return
@@ -280,7 +285,11 @@
 	}
 	a := t.attempt
 	i := a.indexOf(worker)
-	if i < 0 || a.lost[i] || a.statuses[i].State.Final() {
+	if i < 0 {
+		o.hearStray(worker, s)
+		return
+	}
+	if a.lost[i] || a.statuses[i].State.Final() {
 		return
 	}
 	if s.State == dispatcher.StateSucceeded && !whole(s) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,8 +35,8 @@
 	Objects  storer.Objects
 	Workers  dispatcher.Client
 	List     lister.List
-	// Held reports whether the lease is held now.
-	Held func() bool
+	// MayAct reports, by the monotonic clock, whether the lease is held, or cannot have been claimed by another as far as is known.
+	MayAct func() bool
 	// Superseded is called when a worker has obeyed a later owner.
 	Superseded func()
 	// Random returns numbers from 0 up to 1 for jitter.
@@ -96,7 +96,7 @@
 		ready:     make(chan struct{}),
 		jobs:      map[string]*tracked{},
 		accepting: map[string]*accepting{},
-		answers:   newAnswerCache(answerCacheSize),
+		answers:   newAnswerCache(answerCacheBytes),
 		watches:   map[string]*watch{},
 		limbo:     map[string]*limbo{},
 	}
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/snipelift/snipelift/faker"
+	"github.com/snipelift/snipelift/packer"
 	"github.com/snipelift/snipelift/scheduler"
 	"github.com/snipelift/snipelift/spreader"
 )
@@ -356,3 +357,33 @@
 		}
 	})
 }
+
+func TestATaskThatAnEarlierOwnerLeftBehindIsStopped(t *testing.T) {
+	withFleet(t, 3, 27, func(t *testing.T, f *fleet) {
+		w := work{key: "batch", organisation: "researchers", class: "imputation", shape: packer.Shape{Accelerators: 4}, run: 10 * time.Minute}
+		f.accept(f.other(), w)
+		time.Sleep(time.Second)
+		left := f.runningOn()
+		f.workers[left].Set(faker.Faults{Down: true})
+		f.mustOwner().cut.Store(true)
+		time.Sleep(20 * time.Second)
+		f.workers[left].Set(faker.Faults{})
+		time.Sleep(10 * time.Second)
+		if n := f.workers[left].Running(); n != 0 {
+			t.Fatalf("%s still runs %d tasks of an earlier owner", left, n)
+		}
+		f.mustSucceed(f.other(), w, 20*time.Minute)
+	})
+}
+
+// runningOn returns the first worker that runs a task.
+func (f *fleet) runningOn() string {
+	f.t.Helper()
+	for _, vm := range f.vms {
+		if w := f.workers[vm.ID]; w != nil && w.Running() > 0 {
+			return vm.ID
+		}
+	}
+	f.t.Fatal("no worker runs a task")
+	return ""
+}
--- a/router/router.go
+++ b/router/router.go
@@ -127,7 +127,7 @@
 		Objects:    r.options.Objects,
 		Workers:    r.options.Workers,
 		List:       r.options.List,
-		Held:       r.leaser.Held,
+		MayAct:     r.leaser.MayAct,
 		Superseded: r.leaser.Supersede,
 		Random:     r.options.Random,
 		NewID:      r.options.NewID,
--- a/scheduler/alarm.go
+++ b/scheduler/alarm.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -77,8 +78,26 @@
 	return s.alarms.list[0].at, true
 }
 
+const (
+	// staleAlarms and alarmsPerJob bound the alarms of jobs that have ended before they are cleared out.
+	staleAlarms  = 1024
+	alarmsPerJob = 3
+)
+
+// pruneAlarms drops the alarms of jobs that have ended, once they are many.
+func (s *Scheduler) pruneAlarms() {
+	if len(s.alarms.list) < alarmsPerJob*len(s.jobs)+staleAlarms {
+		return
+	}
+	s.alarms.list = slices.DeleteFunc(s.alarms.list, func(a alarm) bool {
+		return a.kind != alarmProbe && s.jobs[a.id] == nil
+	})
+	heap.Init(&s.alarms.list)
+}
+
 // ring handles all alarms that are due.
 func (s *Scheduler) ring() {
+	s.pruneAlarms()
 	for {
 		a, ok := s.alarms.due(s.now)
 		if !ok {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -530,3 +530,37 @@
 		t.Fatalf("asked %s again at once", refusing)
 	}
 }
+
+func TestAQuarantinedWorkerStaysOutAfterSilence(t *testing.T) {
+	b := newBench(t, testDocument())
+	bad := testWorkers()[0]
+	for i := range suspectJobs {
+		id := fmt.Sprintf("job-%d", i)
+		d := b.run(id, "researchers", "imputation", workerShape(1))
+		if d.Members[0].Worker != bad.ID {
+			t.Fatalf("job went to %s, want %s", d.Members[0].Worker, bad.ID)
+		}
+	}
+	for i := range suspectJobs {
+		b.apply(AttemptFinished{ID: fmt.Sprintf("job-%d", i), Attempt: 1, Outcome: OutcomeFailed, Worker: bad.ID})
+	}
+	b.apply(WorkerSilent{ID: bad.ID})
+	b.apply(WorkerSeen{Worker: bad})
+	for _, w := range b.s.View(false).Workers {
+		if w.ID == bad.ID && w.State != "quarantined" {
+			t.Fatalf("the worker is %s after its silence, want quarantined", w.State)
+		}
+	}
+}
+
+func TestAlarmsOfEndedJobsDoNotPileUp(t *testing.T) {
+	b := newBench(t, testDocument())
+	for i := range 5000 {
+		id := fmt.Sprintf("job-%d", i)
+		b.run(id, "researchers", "weighting", workerShape(1))
+		b.apply(AttemptFinished{ID: id, Attempt: 1, Outcome: OutcomeSucceeded})
+	}
+	if n := len(b.s.alarms.list); n > 2*staleAlarms {
+		t.Fatalf("%d alarms are left of 5000 jobs that have ended", n)
+	}
+}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -112,6 +112,8 @@
 	suspects  map[string]bool
 	penalty   time.Duration
 	probation string
+	// quarantinedBefore tells that a silent worker was out of use already.
+	quarantinedBefore bool
 }
 
 // free returns the capacity that nothing occupies.
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -29,20 +29,30 @@
 		s.rebind()
 	}
 	if w.state == workerSilent {
-		w.state = workerUp
-		s.rebind()
+		s.endSilence(w)
 	}
 	if e.Leaving != (w.state == workerLeaving) {
 		s.changeLeaving(w, e.Leaving)
 	}
 }
 
+// endSilence puts a worker that answers again where it was.
+func (s *Scheduler) endSilence(w *worker) {
+	if w.quarantinedBefore {
+		s.quarantine(w)
+		return
+	}
+	w.state = workerUp
+	s.rebind()
+}
+
 // silenceWorker gives a worker no new work until it answers again.
 func (s *Scheduler) silenceWorker(id string) {
 	w := s.workers[id]
 	if w == nil || w.state == workerSilent {
 		return
 	}
+	w.quarantinedBefore = w.state == workerQuarantined || w.state == workerProbing
 	w.state = workerSilent
 	s.dropClaimsOn(w, Reason{Rule: RuleWorkerSilent, Worker: id})
 	s.rebind()
--- a/server/server.go
+++ b/server/server.go
@@ -46,6 +46,7 @@
 	maxHeaderBytes    = 16 << 10
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 15 * time.Second
+	writeTimeout      = maxWait + 30*time.Second
 	idleTimeout       = 90 * time.Second
 )
 
@@ -79,6 +80,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 }
