--- a/commands/document.go
+++ b/commands/document.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -15,7 +16,7 @@
 func newDocument() (*flaggy.Subcommand, []command) {
 	sub := flaggy.NewSubcommand("document")
 	sub.Description = "read, check and edit the service's document"
-	list := []command{newDocumentGet(), newDocumentPut(), newDocumentCheck(), newDocumentHistory()}
+	list := []command{newDocumentGet(), newDocumentPut(), newDocumentCheck(), newDocumentDiff(), newDocumentHistory()}
 	for _, cmd := range list {
 		sub.AttachSubcommand(cmd.sub, 1)
 	}
@@ -136,3 +137,46 @@
 		return ExitDone, nil
 	}}
 }
+
+func newDocumentDiff() command {
+	sub := flaggy.NewSubcommand("diff")
+	sub.Description = "say what an edited document would promise differently from the one in force"
+	var t target
+	t.addFlags(sub)
+	path := ""
+	sub.AddPositionalValue(&path, "file", 1, true, "file with the edited document, or - for standard input")
+	return command{sub: sub, run: func(ctx context.Context, c console) (int, error) {
+		text, err := c.read(path)
+		if err != nil {
+			return 0, err
+		}
+		edited, err := documenter.Decode(text)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", errUsage, err)
+		}
+		client, err := t.client()
+		if err != nil {
+			return 0, err
+		}
+		current, err := client.GetDocument(ctx)
+		if err != nil {
+			return 0, err
+		}
+		before, err := documenter.Decode(current.Text)
+		if err != nil {
+			return 0, fmt.Errorf("read version %d: %w", current.Version, err)
+		}
+		c.showDifference("-", documenter.Describe(before), documenter.Describe(edited))
+		c.showDifference("+", documenter.Describe(edited), documenter.Describe(before))
+		return ExitDone, nil
+	}}
+}
+
+// showDifference prints the sentences that the others lack.
+func (c console) showDifference(sign string, sentences, others []string) {
+	for _, s := range sentences {
+		if !slices.Contains(others, s) {
+			c.printf("%s %s\n", sign, s)
+		}
+	}
+}
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -157,16 +157,13 @@
 }
 
 func (o *Owner) restoreWorker(vm lister.VM, answers map[string]dispatcher.SyncResponse) {
-	w := o.addWatch(vm)
-	w.listed = vm.Leaving
 	response, ok := answers[vm.ID]
 	if !ok {
+		o.addWatch(vm, nil).listed = vm.Leaving
 		return
 	}
-	w.seen = true
-	w.response = response
-	w.info = response.Worker
-	w.incarnation = response.Incarnation
+	w := o.addWatch(vm, &response)
+	w.listed = vm.Leaving
 	w.leaving = response.Leaving || vm.Leaving
 	o.apply(scheduler.WorkerSeen{Worker: o.describe(w, response), Leaving: w.leaving})
 }
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -103,7 +103,7 @@
 		listed[vm.ID] = true
 		w := o.watches[vm.ID]
 		if w == nil || w.vm.Address != vm.Address {
-			w = o.addWatch(vm)
+			w = o.addWatch(vm, nil)
 		}
 		w.listed = vm.Leaving
 		o.seeLeaving(w)
@@ -116,14 +116,20 @@
 	}
 }
 
-// addWatch follows a worker from now on.
-func (o *Owner) addWatch(vm lister.VM) *watch {
+// addWatch follows a worker from now on, starting from what it has said if that is known.
+func (o *Owner) addWatch(vm lister.VM, said *dispatcher.SyncResponse) *watch {
 	if before := o.watches[vm.ID]; before != nil {
 		before.cancel()
 	}
 	ctx, cancel := context.WithCancel(o.ctx)
 	now := time.Now()
 	w := &watch{vm: vm, cancel: cancel, heardAt: now, renewedAt: now}
+	if said != nil {
+		w.seen = true
+		w.response = *said
+		w.info = said.Worker
+		w.incarnation = said.Incarnation
+	}
 	o.watches[vm.ID] = w
 	o.addresses.Store(vm.ID, vm.Address)
 	o.tasks.Go(func() {
