--- a/main_test.go
+++ b/main_test.go
@@ -109,9 +109,9 @@
 	}
 	for i := 1; i <= int(args[0][0]-'0'); i++ {
 		text := fmt.Sprintf(`{"entry":"entry-%d","zone":"zone-a","service":"tabulator","httpAddress":"%s","peerAddress":"%s",
-"platform":{"tableUrl":"http://%s","objectUrl":"http://%s","listUrl":"http://%s/vms"},"drainMillis":200,"checkInvariants":true}`,
+"platform":{"tableUrl":"http://%s","objectUrl":"http://%s","listUrl":"http://%s/vms"},"drainMillis":200,"checkInvariants":true,"traceFile":"%s"}`,
 			i, ts.Getenv(fmt.Sprintf("HTTP%d", i)), ts.Getenv(fmt.Sprintf("PEER%d", i)),
-			ts.Getenv("PLATFORM"), ts.Getenv("PLATFORM"), ts.Getenv("PLATFORM"))
+			ts.Getenv("PLATFORM"), ts.Getenv("PLATFORM"), ts.Getenv("PLATFORM"), ts.MkAbs("spans.json"))
 		ts.Check(os.WriteFile(ts.MkAbs(fmt.Sprintf("entry%d.json", i)), []byte(text), 0o600))
 	}
 }
--- a/owner/attempt.go
+++ b/owner/attempt.go
@@ -142,6 +142,8 @@
 func (d *dispatch) reserveAll(ctx context.Context) (string, bool) {
 	failed := make([]string, len(d.spec.Members))
 	d.each(func(i int, m scheduler.Member) {
+		ctx, end := d.owner.options.Tracer.child(ctx, "worker.reserve", m.Worker)
+		defer end()
 		address := d.owner.addressOf(m.Worker)
 		status, err := d.owner.options.Workers.Reserve(ctx, address, d.reservation(i, m))
 		d.owner.checkEpoch(err)
@@ -201,6 +203,8 @@
 // startAll starts all members and repeats the command, which is idempotent, until each worker has answered or is lost.
 func (d *dispatch) startAll(ctx context.Context) {
 	d.each(func(_ int, m scheduler.Member) {
+		ctx, end := d.owner.options.Tracer.child(ctx, "worker.start", m.Worker)
+		defer end()
 		d.owner.command(ctx, d.attempt(), m.Worker, func(address string) (dispatcher.Status, error) {
 			return d.owner.options.Workers.Start(ctx, address, dispatcher.StartRequest{
 				Epoch:   d.owner.options.Epoch,
--- a/owner/tracer.go
+++ b/owner/tracer.go
@@ -11,6 +11,15 @@
 // Tracer makes the spans of an owner; the zero value makes none.
 type Tracer struct{ Tracer trace.Tracer }
 
+// child starts a span under the one in ctx and returns how to end it.
+func (t Tracer) child(ctx context.Context, name, worker string) (context.Context, func()) {
+	if t.Tracer == nil {
+		return ctx, func() {}
+	}
+	ctx, span := t.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("worker", worker)))
+	return ctx, func() { span.End() }
+}
+
 // span starts a span under the caller's trace and returns how to end it.
 func (t Tracer) span(ctx context.Context, name, job, traceparent string) (context.Context, func()) {
 	if t.Tracer == nil {
