Trace from the caller on, and let the stand-ins go silent

Cause: the caller had no span, and the fault 'silent' of the HTTP stand-ins was declared without effect.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,6 +13,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/snipelift/snipelift/scheduler"
 	"github.com/snipelift/snipelift/server"
 	"github.com/snipelift/snipelift/spreader"
@@ -36,6 +39,8 @@
 	// Key is the caller's or operator's key, where keys are needed.
 	Key  string
 	HTTP *http.Client
+	// Tracer makes a span for each call; nil makes none.
+	Tracer trace.Tracer
 }
 
 const (
@@ -136,6 +141,8 @@
 func (c Client) do(ctx context.Context, method, path string, header http.Header, body []byte, wait time.Duration, into any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
+	ctx, end := c.span(ctx, method)
+	defer end()
 	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
@@ -144,6 +151,7 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(server.HeaderOrganisation, c.Organisation)
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	if c.Key != "" {
 		request.Header.Set("Authorization", "Bearer "+c.Key)
 	}
@@ -165,6 +173,15 @@
 	return response.Header, nil
 }
 
+// span starts the caller's span, if it makes any, and returns how to end it.
+func (c Client) span(ctx context.Context, method string) (context.Context, func()) {
+	if c.Tracer == nil {
+		return ctx, func() {}
+	}
+	ctx, span := c.Tracer.Start(ctx, "caller "+method, trace.WithSpanKind(trace.SpanKindClient))
+	return ctx, func() { span.End() }
+}
+
 func problemOf(status int, data []byte) error {
 	var p server.Problem
 	if err := json.Unmarshal(data, &p); err != nil {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -17,6 +17,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/snipelift/snipelift/caller"
+	"github.com/snipelift/snipelift/tracer"
 )
 
 // The exit codes of snipelift.
@@ -118,6 +119,7 @@
 	entry        string
 	organisation string
 	keyFile      string
+	traceFile    string
 }
 
 const defaultEntry = "http://127.0.0.1:8080"
@@ -127,10 +129,18 @@
 	sub.String(&t.entry, "e", "entry", "URL of an entry or the balancer")
 	sub.String(&t.organisation, "o", "organisation", "organisation to act for, where callers are trusted")
 	sub.String(&t.keyFile, "", "key-file", "file with the key to act with")
+	sub.String(&t.traceFile, "", "trace-file", "file that the caller's spans are appended to")
 }
 
 func (t *target) client() (caller.Client, error) {
 	c := caller.Client{Base: t.entry, Organisation: t.organisation, HTTP: &http.Client{}}
+	if t.traceFile != "" {
+		made, err := tracer.NewSynchronous(t.traceFile, "caller")
+		if err != nil {
+			return c, fmt.Errorf("%w: %w", errUsage, err)
+		}
+		c.Tracer = made
+	}
 	if t.keyFile == "" {
 		return c, nil
 	}
--- a/faker/fault.go
+++ b/faker/fault.go
@@ -32,6 +32,9 @@
 type faultBox struct {
 	mu     sync.Mutex
 	faults Faults
+	// heard are the far ends of all connections so far, and silent those that stay unanswered for good.
+	heard  map[string]bool
+	silent map[string]bool
 }
 
 // Set replaces the faults in force.
@@ -39,6 +42,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.faults = f
+	if !f.Silent {
+		return
+	}
+	if b.silent == nil {
+		b.silent = map[string]bool{}
+	}
+	for address := range b.heard {
+		b.silent[address] = true
+	}
+}
+
+// hear notes the far end of a connection and reports whether it has gone silent.
+func (b *faultBox) hear(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.heard == nil {
+		b.heard = map[string]bool{}
+	}
+	b.heard[address] = true
+	return b.silent[address]
 }
 
 // Get returns the faults in force.
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -106,6 +106,10 @@
 
 // ServeHTTP answers the subset of the DynamoDB and S3 APIs that package storer uses, GET /vms and PUT /faults.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if p.hear(r.RemoteAddr) {
+		leaveUnanswered(r)
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
 	if r.URL.Path == "/faults" {
 		p.serveFaults(w, r)
@@ -125,6 +129,12 @@
 	}
 }
 
+// leaveUnanswered takes a request in and leaves it unanswered until its sender gives up.
+func leaveUnanswered(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/faker/workerhttp.go
+++ b/faker/workerhttp.go
@@ -12,6 +12,10 @@
 
 // ServeHTTP answers the interface of docs/WORKERS.md and PUT /faults.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if w.hear(r.RemoteAddr) {
+		leaveUnanswered(r)
+		return
+	}
 	r.Body = http.MaxBytesReader(rw, r.Body, maxRequestBytes)
 	switch r.URL.Path {
 	case dispatcher.PathReserve:
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -139,3 +139,24 @@
 		t.Fatalf("the row is at version %d, want one write", row.Version)
 	}
 }
+
+func TestASilentConnectionIsReplacedByANewOne(t *testing.T) {
+	p := faker.NewPlatform()
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	table := storer.NewDynamo(storer.DynamoOptions{
+		Endpoint: s.URL, Region: "local", Table: "snipelift", Service: "tabulator",
+		Credentials: aws.AnonymousCredentials{}, HTTPClient: s.Client(), Timeout: 300 * time.Millisecond,
+	})
+	ctx := context.Background()
+	if err := table.Write(ctx, "w", []storer.Change{put("a", 0, "1")}); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(faker.Faults{Silent: true})
+	if _, err := table.Read(ctx, "a"); !errors.Is(err, storer.ErrUnavailable) {
+		t.Fatalf("read over a silent connection: %v", err)
+	}
+	if _, err := table.Read(ctx, "a"); err != nil {
+		t.Fatalf("read over a new connection: %v", err)
+	}
+}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -19,13 +19,9 @@
 	if path == "" {
 		return noop.NewTracerProvider().Tracer(entry), func(context.Context) error { return nil }, nil
 	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePermissions)
-	if err != nil {
-		return nil, nil, fmt.Errorf("open trace file: %w", err)
-	}
-	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	file, exporter, err := open(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("make span exporter: %w", err)
+		return nil, nil, err
 	}
 	provider := sdk.NewTracerProvider(sdk.WithBatcher(exporter))
 	cleanUp = func(ctx context.Context) error {
@@ -41,6 +37,27 @@
 	return provider.Tracer(entry), cleanUp, nil
 }
 
+// NewSynchronous returns a tracer for a short-lived process: each span is written when it ends.
+func NewSynchronous(path, process string) (trace.Tracer, error) {
+	_, exporter, err := open(path)
+	if err != nil {
+		return nil, err
+	}
+	return sdk.NewTracerProvider(sdk.WithSyncer(exporter)).Tracer(process), nil
+}
+
+func open(path string) (*os.File, *stdouttrace.Exporter, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePermissions)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open trace file: %w", err)
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, nil, fmt.Errorf("make span exporter: %w", err)
+	}
+	return file, exporter, nil
+}
+
 // Traceparent returns the W3C trace context of the span in ctx, or an empty string.
 func Traceparent(ctx context.Context) string {
 	carrier := propagation.MapCarrier{}
