Leave no refusal behind that could be untrue

An entry that gave up on urgent work wrote 'refused, not run' as its answer although an owner may run such work without a record; the caller was told unknown, but repeating the request told 'not run'. Ruled out: work that must be recorded (its accept checks the answer's row). Change: urgent idempotent work leaves no refusal; one function reads documents for three commands. Measured: the new test fails before (a row was written) and passes after.

--- a/commands/document.go
+++ b/commands/document.go
@@ -87,14 +87,10 @@
 	path := ""
 	sub.AddPositionalValue(&path, "file", 1, true, "file with the document, or - for standard input")
 	return command{sub: sub, run: func(_ context.Context, c console) (int, error) {
-		text, err := c.read(path)
+		d, err := c.readDocument(path)
 		if err != nil {
 			return 0, err
 		}
-		d, err := documenter.Decode(text)
-		if err != nil {
-			return 0, fmt.Errorf("%w: %w", errUsage, err)
-		}
 		for _, sentence := range documenter.Describe(d) {
 			c.printf("%s\n", sentence)
 		}
@@ -102,6 +98,19 @@
 	}}
 }
 
+// readDocument reads and checks a document in a file.
+func (c console) readDocument(path string) (documenter.Document, error) {
+	text, err := c.read(path)
+	if err != nil {
+		return documenter.Document{}, err
+	}
+	d, err := documenter.Decode(text)
+	if err != nil {
+		return d, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return d, nil
+}
+
 func (c console) read(path string) ([]byte, error) {
 	if path == "-" {
 		data, err := io.ReadAll(io.LimitReader(c.in, documenter.MaxBytes+1))
@@ -146,14 +155,10 @@
 	path := ""
 	sub.AddPositionalValue(&path, "file", 1, true, "file with the edited document, or - for standard input")
 	return command{sub: sub, run: func(ctx context.Context, c console) (int, error) {
-		text, err := c.read(path)
+		edited, err := c.readDocument(path)
 		if err != nil {
 			return 0, err
 		}
-		edited, err := documenter.Decode(text)
-		if err != nil {
-			return 0, fmt.Errorf("%w: %w", errUsage, err)
-		}
 		client, err := t.client()
 		if err != nil {
 			return 0, err
--- a/commands/plan.go
+++ b/commands/plan.go
@@ -6,7 +6,6 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/snipelift/snipelift/documenter"
 	"github.com/snipelift/snipelift/planner"
 )
 
@@ -37,14 +36,10 @@
 }
 
 func (c console) plan(documentPath, statePath string) ([]planner.Step, error) {
-	text, err := c.read(documentPath)
+	d, err := c.readDocument(documentPath)
 	if err != nil {
 		return nil, err
 	}
-	d, err := documenter.Decode(text)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errUsage, err)
-	}
 	data, err := c.read(statePath)
 	if err != nil {
 		return nil, err
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/snipelift/snipelift/faker"
 	"github.com/snipelift/snipelift/packer"
+	"github.com/snipelift/snipelift/recorder"
 	"github.com/snipelift/snipelift/scheduler"
 	"github.com/snipelift/snipelift/spreader"
+	"github.com/snipelift/snipelift/storer"
 )
 
 // urgentBound is how long urgent work may wait for its start, whatever happens.
@@ -387,3 +389,18 @@
 	f.t.Fatal("no worker runs a task")
 	return ""
 }
+
+func TestGivingUpOnUrgentWorkLeavesNoRefusalBehind(t *testing.T) {
+	withFleet(t, 3, 28, func(t *testing.T, f *fleet) {
+		for _, test := range []struct {
+			w    work
+			want error
+		}{{lookup("urgent"), storer.ErrNotFound}, {preview("recorded", time.Second), nil}} {
+			s := f.other().giveUp(test.w.record(), true)
+			_, err := f.table().Read(context.Background(), recorder.DoneKey(test.w.id()))
+			if !errors.Is(err, test.want) || s.Unknown != (test.want != nil) {
+				t.Fatalf("%s: got %+v and row %v, want row %v", test.w.key, s, err, test.want)
+			}
+		}
+	})
+}
--- a/router/submit.go
+++ b/router/submit.go
@@ -73,11 +73,14 @@
 	return w.submit(ctx, record)
 }
 
-// giveUp makes a refusal certain where it can.
+// giveUp makes a refusal certain where it can; work that an owner may run without a record leaves no refusal behind, since that could be untrue.
 func (r *Router) giveUp(record recorder.Open, sent bool) Submission {
 	if !sent {
 		return refusedFor(scheduler.RuleNoOwner)
 	}
+	if r.mayRunUnrecorded(record.Job) {
+		return Submission{Admission: owner.Admission{Unknown: true}}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	refusal := recorder.Answer{
@@ -93,7 +96,7 @@
 		{Key: recorder.OpenKey(record.Job.ID), Expect: 0, CheckOnly: true},
 	})
 	switch {
-	case err == nil && !r.mayRunUnrecorded(record.Job):
+	case err == nil:
 		return Submission{Answer: &refusal}
 	case errors.Is(err, storer.ErrConflict):
 		return Submission{Admission: owner.Admission{Accepted: true}}
