Close a job whose answer was recorded elsewhere first

Cause: reading the change once more. When an entry had recorded the answer of a job that it placed itself, the owner's later answer gave way, but the job's open row stayed, so that every later owner would have run it again. Change: an answer that gives way deletes the open row before it is told. Measured: the new test fails before (the row is there after 20 s) and passes after; every entry tells the first answer.

--- a/owner/answer.go
+++ b/owner/answer.go
@@ -149,6 +149,9 @@
 	if readErr != nil {
 		return answer, fmt.Errorf("answer was not recorded: %w", err)
 	}
+	if err := o.writer.write(ctx, []storer.Change{{Key: recorder.OpenKey(id), Expect: storer.AnyVersion, Delete: true}}); err != nil {
+		return answer, fmt.Errorf("open job of a recorded answer not deleted: %w", err)
+	}
 	return recorder.Decode[recorder.Answer](row)
 }
 
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -404,3 +404,27 @@
 		}
 	})
 }
+
+func TestALateSecondAnswerGivesWayAndLeavesNoOpenJob(t *testing.T) {
+	withFleet(t, 3, 29, func(t *testing.T, f *fleet) {
+		w := lookup("late")
+		w.run = 5 * time.Second
+		f.accept(f.other(), w)
+		first := recorder.Answer{Job: w.record().Job, Outcome: scheduler.OutcomeSucceeded, Result: []byte(`"first"`)}
+		err := f.table().Write(context.Background(), "first", []storer.Change{
+			{Key: recorder.DoneKey(w.id()), Expect: 0, Value: recorder.Encode(first)},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		for _, e := range f.entries {
+			if a := f.answer(e, w, 10*time.Second); string(a.Result) != `"first"` {
+				t.Fatalf("%s tells %s, want the answer that was recorded first", e.name, a.Result)
+			}
+		}
+		if _, err := f.table().Read(context.Background(), recorder.OpenKey(w.id())); !errors.Is(err, storer.ErrNotFound) {
+			t.Fatalf("the job is still open after its answer: %v", err)
+		}
+	})
+}
