Give each test process its own ports and the silent read its connection

Cause: the transport returns a connection to its pool after the response, so the read of the silent-connection test could go out on a second one. The scripts found ports free and let them go before use; another process could take them. Ruled out: a fault of storer (the read itself timed out as it should).

--- a/main_test.go
+++ b/main_test.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,55 +34,34 @@
 	})
 }
 
-// setUp gives each script ports of its own.
+const (
+	// firstScriptPort is below the ports that the kernel gives to outgoing connections.
+	firstScriptPort = 20000
+	// portsOfScript are the ports of one script: platform, entries, peers and up to 24 workers.
+	portsOfScript = 40
+)
+
+var scriptsStarted atomic.Int32
+
+// setUp gives each script ports of its own, on a loopback address that no other test process uses.
 func setUp(env *testscript.Env) error {
-	const ports = 24
-	first, err := freePorts(ports)
-	if err != nil {
-		return err
-	}
-	env.Setenv("PLATFORM", fmt.Sprintf("127.0.0.1:%d", first))
+	host := hostOf(os.Getpid())
+	first := firstScriptPort + portsOfScript*int(scriptsStarted.Add(1))
+	address := func(offset int) string { return netip.AddrPortFrom(host, uint16(first+offset)).String() } //nolint:gosec // Far below the largest port.
+	env.Setenv("PLATFORM", address(0))
 	for i := 1; i <= 3; i++ {
-		env.Setenv(fmt.Sprintf("HTTP%d", i), fmt.Sprintf("127.0.0.1:%d", first+i))
-		env.Setenv(fmt.Sprintf("PEER%d", i), fmt.Sprintf("127.0.0.1:%d", first+3+i))
+		env.Setenv(fmt.Sprintf("HTTP%d", i), address(i))
+		env.Setenv(fmt.Sprintf("PEER%d", i), address(3+i))
 	}
-	env.Setenv("WORKERS", fmt.Sprintf("127.0.0.1:%d", first+8))
+	env.Setenv("WORKERS", address(8))
 	return nil
 }
 
-// freePorts returns the first of count neighbouring free ports.
-func freePorts(count int) (int, error) {
-	for range 50 {
-		first, err := portOf("127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		if first+count < 65000 && allFree(first, count) {
-			return first, nil
-		}
-	}
-	return 0, fmt.Errorf("no %d neighbouring free ports", count)
-}
-
-func allFree(first, count int) bool {
-	for i := range count {
-		if _, err := portOf(fmt.Sprintf("127.0.0.1:%d", first+i)); err != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// portOf listens on the address for a moment and returns its port.
-func portOf(address string) (int, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = l.Close() }()
-	resolved, err := netip.ParseAddrPort(l.Addr().String())
-	return int(resolved.Port()), err
+// hostOf maps a process to a loopback address: ports of 127.0.0.1 that were found
+// free can be taken by another process before they are used.
+func hostOf(pid int) netip.Addr {
+	const firstOctet, notDefault = 127, 64
+	return netip.AddrFrom4([4]byte{firstOctet, notDefault | byte(pid>>16), byte(pid >> 8), byte(pid)})
 }
 
 // eventually repeats a command until it succeeds.
--- /dev/null
+++ b/server/leak_test.go
@@ -0,0 +1,12 @@
+package server_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain ignores the ticker that go-metrics starts with the first meter and never stops.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -144,9 +144,13 @@
 	p := faker.NewPlatform()
 	s := httptest.NewServer(p)
 	t.Cleanup(s.Close)
+	client := s.Client()
+	// The transport hands a connection back after it has returned the response,
+	// so that the read could find none and go out on a second connection, which is not silent.
+	client.Transport.(*http.Transport).MaxConnsPerHost = 1 //nolint:forcetypeassert // httptest documents the type.
 	table := storer.NewDynamo(storer.DynamoOptions{
 		Endpoint: s.URL, Region: "local", Table: "snipelift", Service: "tabulator",
-		Credentials: aws.AnonymousCredentials{}, HTTPClient: s.Client(), Timeout: 300 * time.Millisecond,
+		Credentials: aws.AnonymousCredentials{}, HTTPClient: client, Timeout: 300 * time.Millisecond,
 	})
 	ctx := context.Background()
 	if err := table.Write(ctx, "w", []storer.Change{put("a", 0, "1")}); err != nil {
