--- /dev/null
+++ b/arranger/arranger.go
@@ -0,0 +1,241 @@
+package arranger
+
+import (
+	"time"
+)
+
+// Options are the limits of an arranger; the zero value is usable.
+type Options struct {
+	// FirstRun is the number below which earlier owners numbered their runs.
+	FirstRun int64
+	// StopTime is the longest that a worker takes to stop a task.
+	StopTime time.Duration
+	// RemoteFactor multiplies the time of a task away from its rack.
+	RemoteFactor float64
+	// Note takes a line about a change of belief; nil means that nobody listens.
+	Note func(message string, details ...any)
+}
+
+// Arranger holds the jobs, tasks and workers of a service.
+type Arranger struct {
+	options    Options
+	jobs       map[string]*job
+	active     []*job
+	workers    map[string]*worker
+	order      []*worker
+	guaranteed map[string]int
+	orders     Orders
+	dirty      map[string]bool
+	// unheard are the workers on which an earlier owner may have started tasks, with the time when the last lease there has lapsed.
+	unheard  map[string]time.Time
+	claims   [][]*place
+	sequence int
+	ended    []string
+}
+
+// New returns an arranger without jobs and workers.
+func New(options Options) *Arranger {
+	if options.Note == nil {
+		options.Note = func(string, ...any) {}
+	}
+	if options.RemoteFactor < 1 {
+		options.RemoteFactor = 1
+	}
+	return &Arranger{
+		options:    options,
+		jobs:       map[string]*job{},
+		workers:    map[string]*worker{},
+		guaranteed: map[string]int{},
+		dirty:      map[string]bool{},
+		unheard:    map[string]time.Time{},
+	}
+}
+
+// SetGuarantees sets the accelerators guaranteed to the urgent jobs of each organisation.
+func (a *Arranger) SetGuarantees(guaranteed map[string]int) { a.guaranteed = guaranteed }
+
+// SetPolicy replaces the policy of a queue's jobs that have not ended.
+func (a *Arranger) SetPolicy(queue string, p Policy) {
+	for _, j := range a.active {
+		if j.Queue == queue {
+			j.Policy = p
+		}
+	}
+}
+
+// AddJob takes in an accepted job with the progress recorded for it; early tells that an earlier owner may have started tasks of it.
+func (a *Arranger) AddJob(now time.Time, spec Job, progress Progress, early bool) {
+	if a.jobs[spec.ID] != nil {
+		return
+	}
+	a.sequence++
+	j := &job{Job: spec, state: Queued, byKey: map[[2]int]*stage{}, early: early, sequence: a.sequence}
+	a.jobs[j.ID] = j
+	if progress.State.Final() {
+		j.state = progress.State
+		j.Steps = nil
+		return
+	}
+	j.chain = chainOf(j.Steps)
+	j.due = j.Accepted.Add(time.Duration(j.Policy.Stretch*float64(j.chain)) + j.Policy.Objective)
+	a.active = append(a.active, j)
+	a.makeOccurrences(j, now)
+	a.restore(j, progress)
+	a.readyStages(j, now)
+	a.settle(j)
+}
+
+// chainOf returns the estimated time of the longest chain of steps.
+func chainOf(steps []Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// makeOccurrences creates the stages of all occurrences that are due.
+func (a *Arranger) makeOccurrences(j *job, now time.Time) {
+	for j.made < max(1, j.Times) {
+		if j.Times > 0 && now.Before(j.First.Add(time.Duration(j.made)*j.Interval)) {
+			return
+		}
+		for number, step := range j.Steps {
+			s := &stage{job: j, occurrence: j.made, number: number, step: step, left: step.Count}
+			for i := range step.Count {
+				s.tasks = append(s.tasks, &task{stage: s, index: i})
+			}
+			j.stages = append(j.stages, s)
+			j.byKey[[2]int{j.made, number}] = s
+		}
+		j.made++
+	}
+}
+
+// readyStages marks the stages whose earlier steps are done.
+func (a *Arranger) readyStages(j *job, now time.Time) {
+	for _, s := range j.stages {
+		if !s.ready.IsZero() {
+			continue
+		}
+		ready := true
+		for _, before := range s.step.After {
+			ready = ready && j.byKey[[2]int{s.occurrence, before}].left == 0
+		}
+		if ready {
+			s.ready = now
+		}
+	}
+}
+
+// settle ends a job all of whose tasks are done.
+func (a *Arranger) settle(j *job) {
+	if j.state.Final() || j.made < max(1, j.Times) {
+		return
+	}
+	for _, s := range j.stages {
+		if s.left > 0 || s.step.Lasting {
+			return
+		}
+	}
+	a.end(j, Succeeded, "all tasks done")
+}
+
+// end gives a job its final state and stops what still runs of it.
+func (a *Arranger) end(j *job, state State, reason string) {
+	if j.state.Final() {
+		return
+	}
+	j.state = state
+	a.dirty[j.ID] = true
+	a.ended = append(a.ended, j.ID)
+	a.options.Note("job ended", "job", j.ID, "queue", j.Queue, "state", state, "reason", reason)
+	for _, s := range j.stages {
+		for _, t := range s.tasks {
+			if t.place != nil && (state != Succeeded || !t.done) {
+				a.stop(t.place, reason)
+			}
+		}
+	}
+	j.stages = nil
+	j.byKey = nil
+	j.Steps = nil
+	j.Payload = ""
+	for i, other := range a.active {
+		if other == j {
+			a.active = append(a.active[:i], a.active[i+1:]...)
+			break
+		}
+	}
+}
+
+// Cancel ends a job at its caller's wish; a job that has ended stays as it is.
+func (a *Arranger) Cancel(id string) {
+	if j := a.jobs[id]; j != nil {
+		a.end(j, Cancelled, "cancelled by its caller")
+	}
+}
+
+// Forget drops a job that has ended.
+func (a *Arranger) Forget(id string) {
+	if j := a.jobs[id]; j != nil && j.state.Final() {
+		delete(a.jobs, id)
+	}
+}
+
+// Knows reports whether the job was taken in.
+func (a *Arranger) Knows(id string) bool { return a.jobs[id] != nil }
+
+// TakeOrders returns the orders that were decided since the last call.
+func (a *Arranger) TakeOrders() Orders {
+	o := a.orders
+	a.orders = Orders{}
+	return o
+}
+
+// TakeDirty returns the IDs of the jobs whose progress changed since the last call.
+func (a *Arranger) TakeDirty() []string {
+	ids := make([]string, 0, len(a.dirty))
+	for id := range a.dirty {
+		ids = append(ids, id)
+	}
+	clear(a.dirty)
+	return ids
+}
+
+// MarkDirty asks for the progress of a job to be recorded again.
+func (a *Arranger) MarkDirty(id string) { a.dirty[id] = true }
+
+// Pending returns for each queue the number of jobs of which no task has started; jobs that are not due yet do not count.
+func (a *Arranger) Pending() map[string]int {
+	counts := map[string]int{}
+	for _, j := range a.active {
+		if !j.begun && j.made > 0 {
+			counts[j.Queue]++
+		}
+	}
+	return counts
+}
+
+// Waiting returns the number of tasks that could start if there were room.
+func (a *Arranger) Waiting() int {
+	count := 0
+	for _, j := range a.active {
+		for _, s := range j.stages {
+			if s.ready.IsZero() {
+				continue
+			}
+			for _, t := range s.tasks {
+				if !t.done && t.place == nil {
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/arranger/fleet.go
@@ -0,0 +1,145 @@
+package arranger
+
+import (
+	"slices"
+	"time"
+)
+
+// SetWorker takes in what a worker says of itself; another life of it begins empty.
+func (a *Arranger) SetWorker(info Worker) {
+	w := a.workers[info.ID]
+	if w != nil && w.Born != info.Born && info.Born != 0 && w.Born != 0 {
+		a.LoseWorker(info.ID, "worker restarted")
+		w = nil
+	}
+	if w == nil {
+		w = &worker{places: map[*place]bool{}, strangers: map[string]Resources{}}
+		a.workers[info.ID] = w
+		a.order = append(a.order, w)
+		slices.SortFunc(a.order, func(x, y *worker) int { return compareText(x.ID, y.ID) })
+	}
+	w.Worker = info
+	if w.ID == "" {
+		w.ID = info.ID
+	}
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// ExpectReport tells that an earlier owner may have started tasks on the worker, under leases that have lapsed at the given time.
+func (a *Arranger) ExpectReport(id string, lapsed time.Time) { a.unheard[id] = lapsed }
+
+// awaitsReports reports whether some worker may still run tasks of an earlier owner that are not known.
+func (a *Arranger) awaitsReports(now time.Time) bool {
+	for id, lapsed := range a.unheard {
+		if !now.Before(lapsed) {
+			delete(a.unheard, id)
+		}
+	}
+	return len(a.unheard) > 0
+}
+
+// SetReachable tells whether a worker answers; one that does not keeps what it runs but gets no new work.
+func (a *Arranger) SetReachable(id string, reachable bool) {
+	if w := a.workers[id]; w != nil {
+		w.reachable = reachable
+	}
+}
+
+// LoseWorker removes a worker on which surely nothing runs any more.
+func (a *Arranger) LoseWorker(id, reason string) {
+	delete(a.unheard, id)
+	w := a.workers[id]
+	if w == nil {
+		return
+	}
+	delete(a.workers, id)
+	a.order = slices.DeleteFunc(a.order, func(other *worker) bool { return other == w })
+	for p := range w.places {
+		a.vacate(p, reason)
+	}
+}
+
+// vacate takes away a place whose run has surely ended or never began; the task waits again unless it is done.
+func (a *Arranger) vacate(p *place, reason string) {
+	delete(p.worker.places, p)
+	t := p.task
+	if t.place == p {
+		t.place = nil
+	}
+	if t.done || t.stage.job.state.Final() {
+		return
+	}
+	a.options.Note("task waits again", "task", t.name().String(), "run", p.run, "worker", p.worker.ID, "reason", reason)
+	if t.stage.step.Gang {
+		a.breakGang(t.stage, reason)
+	}
+}
+
+// breakGang stops the members of a gang that has lost one, so that it can start again as a whole.
+func (a *Arranger) breakGang(s *stage, reason string) {
+	for _, other := range s.tasks {
+		if other.place == nil || other.done {
+			continue
+		}
+		if other.place.state == placeClaimed {
+			a.dropPlace(other.place)
+			continue
+		}
+		a.stop(other.place, reason)
+	}
+}
+
+// dropPlace gives up a claim.
+func (a *Arranger) dropPlace(p *place) {
+	delete(p.worker.places, p)
+	if p.task.place == p {
+		p.task.place = nil
+	}
+}
+
+// stop orders the end of a run; the place stays taken until the worker reports the end.
+func (a *Arranger) stop(p *place, reason string) {
+	switch p.state {
+	case placeClaimed:
+		a.dropPlace(p)
+		return
+	case placeStopping:
+		return
+	case placeStarting, placeRunning:
+	}
+	p.state = placeStopping
+	p.reason = reason
+	p.confirmed = time.Time{}
+	a.orderStop(p)
+}
+
+func (a *Arranger) orderStop(p *place) {
+	a.orders.Stops = append(a.orders.Stops, StopOrder{Task: p.task.name().String(), Run: p.run, Worker: p.worker.ID, Reason: p.reason})
+}
+
+// WorkerIDs returns the IDs of all workers.
+func (a *Arranger) WorkerIDs() []string {
+	ids := make([]string, 0, len(a.order))
+	for _, w := range a.order {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// Worker returns what is known of a worker, or false.
+func (a *Arranger) Worker(id string) (Worker, bool) {
+	if w := a.workers[id]; w != nil {
+		return w.Worker, true
+	}
+	return Worker{}, false
+}
--- /dev/null
+++ b/arranger/health.go
@@ -0,0 +1,45 @@
+package arranger
+
+import "time"
+
+const (
+	// suspectFailures is the number of different jobs that must fail on a worker in a row before it is left out.
+	suspectFailures = 2
+	// firstRest and maxRest bound the time for which a worker that fails everything is left out.
+	firstRest = 4 * time.Second
+	maxRest   = 60 * time.Second
+)
+
+// health is what the runs on a worker tell about it.
+type health struct {
+	failedJobs map[string]bool
+	restUntil  time.Time
+	rest       time.Duration
+}
+
+func (h *health) usable(now time.Time) bool { return !now.Before(h.restUntil) }
+
+// succeed clears the worker of suspicion.
+func (h *health) succeed() {
+	clear(h.failedJobs)
+	h.rest = 0
+}
+
+// fail counts a failure and reports whether the worker is left out from now on.
+func (h *health) fail(job string, now time.Time) bool {
+	if h.failedJobs == nil {
+		h.failedJobs = map[string]bool{}
+	}
+	h.failedJobs[job] = true
+	if len(h.failedJobs) < suspectFailures {
+		return false
+	}
+	h.leaveOut(now)
+	return true
+}
+
+// leaveOut gives the worker no new work for a time that doubles with each repetition.
+func (h *health) leaveOut(now time.Time) {
+	h.rest = min(max(firstRest, 2*h.rest), maxRest)
+	h.restUntil = now.Add(h.rest)
+}
--- /dev/null
+++ b/arranger/plan.go
@@ -0,0 +1,277 @@
+package arranger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// rank orders work by who may displace whom; a lower rank goes first.
+type rank int
+
+const (
+	// rankGuaranteed is urgent work within its organisation's guarantee.
+	rankGuaranteed rank = iota
+	// rankUrgent is urgent work beyond the guarantee.
+	rankUrgent
+	// rankFirstLater is work of priority 1; later priorities follow.
+	rankFirstLater
+)
+
+const (
+	// claimSlack is how long a claim outlives the longest stop, before the job is placed anew.
+	claimSlack = 1500 * time.Millisecond
+	// stopRepeat is the time after which a stop that has shown no effect is ordered again.
+	stopRepeat = time.Second
+	// lateFactor times its objective is when a job loses all its worth to its caller.
+	lateFactor = 3
+)
+
+// hope is what can still be reached for a job.
+type hope int
+
+const (
+	hopeInTime hope = iota
+	hopeLate
+	hopeless
+)
+
+// unit is a stage with tasks that wait.
+type unit struct {
+	stage   *stage
+	waiting []*task
+	rank    rank
+	hope    hope
+	// latest is when the job has to start to be in time.
+	latest time.Time
+}
+
+// Plan places waiting work; its orders are taken by TakeOrders.
+func (a *Arranger) Plan(now time.Time) {
+	for _, j := range slices.Clone(a.active) {
+		if j.made < j.Times {
+			a.makeOccurrences(j, now)
+			a.readyStages(j, now)
+		}
+	}
+	a.repeatStops(now)
+	a.startClaims(now)
+	s := a.newSurvey(now)
+	for _, u := range a.units(now) {
+		s.place(u)
+	}
+}
+
+// NextDue returns when the next occurrence of a job is due, or zero.
+func (a *Arranger) NextDue() time.Time {
+	var next time.Time
+	for _, j := range a.active {
+		if j.made >= j.Times {
+			continue
+		}
+		due := j.First.Add(time.Duration(j.made) * j.Interval)
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	return next
+}
+
+// units returns the stages with waiting tasks, in the order in which they are placed.
+func (a *Arranger) units(now time.Time) []unit {
+	ranks := a.ranks()
+	gated := a.awaitsReports(now)
+	var units []unit
+	for _, j := range a.active {
+		if j.early && gated {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.left == 0 || s.ready.IsZero() {
+				continue
+			}
+			waiting := s.waiting(now)
+			if len(waiting) == 0 {
+				continue
+			}
+			units = append(units, a.unitOf(now, s, waiting, ranks[j]))
+		}
+	}
+	slices.SortStableFunc(units, compareUnits)
+	return units
+}
+
+// waiting returns the tasks that could start; of a gang all or none.
+func (s *stage) waiting(now time.Time) []*task {
+	var waiting []*task
+	for _, t := range s.tasks {
+		if !t.done && t.place == nil && !now.Before(t.notBefore) {
+			waiting = append(waiting, t)
+		}
+	}
+	if s.step.Gang && len(waiting) < len(s.tasks) {
+		return nil
+	}
+	return waiting
+}
+
+func (a *Arranger) unitOf(now time.Time, s *stage, waiting []*task, r rank) unit {
+	j := s.job
+	left := j.remaining()
+	u := unit{stage: s, waiting: waiting, rank: r, latest: j.due.Add(-left)}
+	switch {
+	case now.Before(u.latest):
+		u.hope = hopeInTime
+	case now.Add(left).Before(j.Accepted.Add(lateFactor * j.due.Sub(j.Accepted))):
+		u.hope = hopeLate
+	default:
+		u.hope = hopeless
+	}
+	return u
+}
+
+// remaining returns the estimated time of the longest chain of steps that are not done.
+func (j *job) remaining() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, step := range j.Steps {
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if s := j.byKey[[2]int{j.made - 1, i}]; s == nil || s.left > 0 {
+			ends[i] += step.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// compareUnits puts guaranteed work first, and work that cannot be of use any more last.
+func compareUnits(x, y unit) int {
+	return cmp.Or(
+		cmp.Compare(boolInt(x.rank != rankGuaranteed), boolInt(y.rank != rankGuaranteed)),
+		cmp.Compare(boolInt(x.hope == hopeless), boolInt(y.hope == hopeless)),
+		cmp.Compare(x.rank, y.rank),
+		cmp.Compare(x.hope, y.hope),
+		x.latest.Compare(y.latest),
+		cmp.Compare(x.stage.job.sequence, y.stage.job.sequence),
+	)
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ranks returns the rank of each active job; an organisation's urgent jobs are within its guarantee in the order of their acceptance.
+func (a *Arranger) ranks() map[*job]rank {
+	ranks := make(map[*job]rank, len(a.active))
+	var urgent []*job
+	for _, j := range a.active {
+		ranks[j] = rankUrgent + rank(j.Policy.Priority)
+		if j.urgent() {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortStableFunc(urgent, func(x, y *job) int { return x.Accepted.Compare(y.Accepted) })
+	used := map[string]int{}
+	for _, j := range urgent {
+		if j.made == 0 {
+			continue
+		}
+		used[j.Organisation] += j.accelerators()
+		if used[j.Organisation] <= a.guaranteed[j.Organisation] {
+			ranks[j] = rankGuaranteed
+		}
+	}
+	return ranks
+}
+
+// repeatStops orders stops again that have shown no effect.
+func (a *Arranger) repeatStops(now time.Time) {
+	for _, w := range a.order {
+		for p := range w.places {
+			if p.state != placeStopping {
+				continue
+			}
+			if p.stopOrdered.IsZero() {
+				p.stopOrdered = now
+				continue
+			}
+			if now.Sub(p.stopOrdered) >= stopRepeat+a.options.StopTime {
+				p.stopOrdered = now
+				a.orderStop(p)
+			}
+		}
+	}
+}
+
+// startClaims starts the claims whose room has become free, and gives up those that waited too long.
+func (a *Arranger) startClaims(now time.Time) {
+	kept := a.claims[:0]
+	for _, group := range a.claims {
+		switch {
+		case !intact(group):
+			for _, p := range group {
+				if p.task.place == p && p.state == placeClaimed {
+					a.dropPlace(p)
+				}
+			}
+		case a.clear(now, group):
+			a.start(now, group, "room has been cleared")
+		case now.Sub(group[0].began) > a.options.StopTime+claimSlack:
+			a.options.Note("claim given up", "task", group[0].task.name().String())
+			for _, p := range group {
+				a.dropPlace(p)
+			}
+		default:
+			kept = append(kept, group)
+		}
+	}
+	a.claims = kept
+}
+
+// intact reports whether all places of a group are still claims.
+func intact(group []*place) bool {
+	for _, p := range group {
+		if p.task.place != p || p.state != placeClaimed {
+			return false
+		}
+	}
+	return true
+}
+
+// clear reports whether all workers of the group have room for its places now.
+func (a *Arranger) clear(now time.Time, group []*place) bool {
+	needs := map[*worker]Resources{}
+	for _, p := range group {
+		needs[p.worker] = needs[p.worker].Plus(p.task.stage.step.Need)
+	}
+	for w, need := range needs {
+		if !w.takes(now) || !w.Capacity.Minus(w.taken()).Covers(need) {
+			return false
+		}
+	}
+	return true
+}
+
+// start orders the start of claimed places; the members of a gang share one run number.
+func (a *Arranger) start(now time.Time, group []*place, reason string) {
+	run := a.options.FirstRun
+	for _, p := range group {
+		run = max(run, p.task.lastRun)
+	}
+	run++
+	for _, p := range group {
+		p.run = run
+		p.task.lastRun = run
+		p.state = placeStarting
+		p.began = now
+		a.orders.Starts = append(a.orders.Starts, StartOrder{
+			Task: p.task.name(), Run: run, Worker: p.worker.ID,
+			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Reason: reason,
+		})
+	}
+}
--- /dev/null
+++ b/arranger/progress.go
@@ -0,0 +1,92 @@
+package arranger
+
+import (
+	"encoding/hex"
+	"fmt"
+)
+
+// Progress is what is recorded of a job, so that the next owner goes on from there.
+type Progress struct {
+	State State `json:"state"`
+	// Done holds for each stage, named OCCURRENCE.STEP, the tasks that are done as a bit set in hexadecimal digits.
+	Done map[string]string `json:"done,omitempty"`
+	// Tasks holds what else is known of tasks, by OCCURRENCE.STEP.INDEX.
+	Tasks map[string]TaskProgress `json:"tasks,omitempty"`
+}
+
+// TaskProgress is what is recorded of a task that failed or saved a checkpoint.
+type TaskProgress struct {
+	Failed int `json:"failed,omitempty"`
+	// FailedRun is the last run that counted as failed; its end may be reported again.
+	FailedRun  int64  `json:"failedRun,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Progress returns what is to be recorded of the job.
+func (a *Arranger) Progress(id string) Progress {
+	j := a.jobs[id]
+	if j == nil {
+		return Progress{}
+	}
+	p := Progress{State: j.state}
+	for _, s := range j.stages {
+		if bits := s.doneBits(); bits != "" {
+			if p.Done == nil {
+				p.Done = map[string]string{}
+			}
+			p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.number)] = bits
+		}
+		for _, t := range s.tasks {
+			if t.done || (t.failed == 0 && t.checkpoint == "") {
+				continue
+			}
+			if p.Tasks == nil {
+				p.Tasks = map[string]TaskProgress{}
+			}
+			p.Tasks[t.key()] = TaskProgress{Failed: t.failed, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
+		}
+	}
+	return p
+}
+
+func (t *task) key() string {
+	return fmt.Sprintf("%d.%d.%d", t.stage.occurrence, t.stage.number, t.index)
+}
+
+const bitsPerByte = 8
+
+func (s *stage) doneBits() string {
+	if s.left == len(s.tasks) {
+		return ""
+	}
+	set := make([]byte, (len(s.tasks)+bitsPerByte-1)/bitsPerByte)
+	for i, t := range s.tasks {
+		if t.done {
+			set[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+		}
+	}
+	return hex.EncodeToString(set)
+}
+
+// restore applies recorded progress to a job's stages.
+func (a *Arranger) restore(j *job, p Progress) {
+	if p.State == Running {
+		j.state = Running
+		j.begun = true
+	}
+	for _, s := range j.stages {
+		set, err := hex.DecodeString(p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.number)])
+		if err != nil {
+			a.options.Note("progress unreadable, its tasks count as not done", "job", j.ID, "step", s.number, "error", err.Error())
+			continue
+		}
+		for i, t := range s.tasks {
+			if i/bitsPerByte < len(set) && set[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
+				t.done = true
+				s.left--
+			}
+			kept := p.Tasks[t.key()]
+			t.failed, t.failedRun, t.checkpoint = kept.Failed, kept.FailedRun, kept.Checkpoint
+		}
+	}
+}
--- /dev/null
+++ b/arranger/report.go
@@ -0,0 +1,389 @@
+package arranger
+
+import (
+	"time"
+)
+
+// RunReport is a run that a worker says it has.
+type RunReport struct {
+	Task       string
+	Run        int64
+	Checkpoint string
+	Percent    int
+}
+
+// EndReport is a run that ended on a worker; Number rises in each life of the worker.
+type EndReport struct {
+	Number     int64
+	Task       string
+	Run        int64
+	How        How
+	Checkpoint string
+}
+
+// Report is all that a worker says of its runs.
+type Report struct {
+	Worker string
+	// Asked is when the question was sent; orders confirmed later may not show in the answer.
+	Asked   time.Time
+	Running []RunReport
+	Ended   []EndReport
+}
+
+// TakeReport takes in a worker's report and what follows from it.
+func (a *Arranger) TakeReport(now time.Time, r Report) {
+	w := a.workers[r.Worker]
+	if w == nil {
+		return
+	}
+	w.heard = true
+	w.reachable = true
+	delete(a.unheard, w.ID)
+	for _, e := range r.Ended {
+		if e.Number > w.lastEnd {
+			w.lastEnd = e.Number
+			a.takeEnd(now, w, e)
+		}
+	}
+	listed := map[string]int64{}
+	clear(w.strangers)
+	w.strangersFull = false
+	for _, run := range r.Running {
+		listed[run.Task] = run.Run
+		a.takeRunning(now, w, r.Asked, run)
+	}
+	a.dropAbsent(now, w, r.Asked, listed)
+}
+
+// takeRunning matches a run on a worker with the place that it belongs to.
+func (a *Arranger) takeRunning(now time.Time, w *worker, asked time.Time, r RunReport) {
+	if p := w.placeOf(r); p != nil {
+		a.advance(now, p, r)
+		return
+	}
+	t := a.findTask(r.Task)
+	if t == nil {
+		a.takeStranger(w, r, Resources{}, false)
+		return
+	}
+	p := t.place
+	wanted := !t.done && !t.stage.job.state.Final()
+	if wanted && p == nil && t.stage.job.early && r.Run >= t.lastRun {
+		a.adopt(now, w, t, asked, r)
+		return
+	}
+	a.takeStranger(w, r, t.stage.step.Need, true)
+}
+
+// placeOf returns the place of a run on the worker, or nil.
+func (w *worker) placeOf(r RunReport) *place {
+	for p := range w.places {
+		if p.run == r.Run && p.task.name().String() == r.Task {
+			return p
+		}
+	}
+	return nil
+}
+
+// takeStranger stops a run that nothing accounts for.
+func (a *Arranger) takeStranger(w *worker, r RunReport, need Resources, known bool) {
+	w.strangers[r.Task] = need
+	if !known {
+		w.strangersFull = true
+	}
+	a.options.Note("run is not accounted for, stopping it", "task", r.Task, "run", r.Run, "worker", w.ID)
+	a.orders.Stops = append(a.orders.Stops, StopOrder{Task: r.Task, Run: r.Run, Worker: w.ID, Reason: "not accounted for"})
+}
+
+// adopt takes over a run that an earlier owner started.
+func (a *Arranger) adopt(now time.Time, w *worker, t *task, asked time.Time, r RunReport) {
+	t.lastRun = r.Run
+	p := &place{task: t, worker: w, run: r.Run, state: placeRunning, began: now, confirmed: asked.Add(-time.Nanosecond)}
+	t.place = p
+	w.places[p] = true
+	a.begin(t.stage.job)
+	a.advance(now, p, r)
+	a.options.Note("run taken over", "task", r.Task, "run", r.Run, "worker", w.ID, "percent", r.Percent)
+	if t.stage.step.Gang {
+		a.checkAdoptedGang(t.stage)
+	}
+}
+
+// checkAdoptedGang stops a gang whose members do not all belong to one run.
+func (a *Arranger) checkAdoptedGang(s *stage) {
+	var newest int64
+	for _, t := range s.tasks {
+		if t.place != nil {
+			newest = max(newest, t.place.run)
+		}
+	}
+	for _, t := range s.tasks {
+		if t.place != nil && t.place.run != newest {
+			a.stop(t.place, "member of an older run of its gang")
+		}
+	}
+}
+
+// advance notes the progress of a run.
+func (a *Arranger) advance(now time.Time, p *place, r RunReport) {
+	if p.state == placeStarting {
+		p.state = placeRunning
+		p.confirmed = now
+		a.begin(p.task.stage.job)
+	}
+	if r.Checkpoint != "" && r.Checkpoint != p.task.checkpoint {
+		a.saveCheckpoint(p.task, r.Checkpoint)
+		p.saved = now
+	}
+	if r.Percent > p.percent || p.advanced.IsZero() {
+		p.advanced = now
+		if p.worked.IsZero() && r.Percent > 0 {
+			p.worked = now
+		}
+	}
+	p.percent = r.Percent
+}
+
+// saveCheckpoint keeps a checkpoint; that of any member is valid for its whole gang.
+func (a *Arranger) saveCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	if !t.stage.step.Gang {
+		t.checkpoint = checkpoint
+		return
+	}
+	for _, other := range t.stage.tasks {
+		other.checkpoint = checkpoint
+	}
+}
+
+// begin notes that a task of the job has started.
+func (a *Arranger) begin(j *job) {
+	if j.begun || j.state.Final() {
+		return
+	}
+	j.begun = true
+	j.state = Running
+	a.dirty[j.ID] = true
+}
+
+// dropAbsent vacates the places that the worker would have listed if they still ran.
+func (a *Arranger) dropAbsent(now time.Time, w *worker, asked time.Time, listed map[string]int64) {
+	for p := range w.places {
+		if p.state == placeClaimed || p.confirmed.IsZero() || !p.confirmed.Before(asked) {
+			continue
+		}
+		if run, ok := listed[p.task.name().String()]; ok && run == p.run {
+			continue
+		}
+		a.vacate(p, "no longer on its worker")
+	}
+}
+
+// takeEnd takes in the end of a run.
+func (a *Arranger) takeEnd(now time.Time, w *worker, e EndReport) {
+	t := a.findTask(e.Task)
+	if t == nil {
+		a.dropEnded(w, e)
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	p := t.place
+	mine := p != nil && p.worker == w && p.run == e.Run
+	if t.done {
+		a.dropEnded(w, e)
+		return
+	}
+	a.dirty[t.stage.job.ID] = true
+	a.saveCheckpoint(t, e.Checkpoint)
+	a.options.Note("run ended", "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How, "number", e.Number)
+	switch e.How {
+	case EndedDone:
+		w.health.succeed()
+		a.complete(now, t, p, mine)
+	case EndedFailed:
+		a.countFailure(now, w, t, e)
+		if mine {
+			a.vacate(p, "run failed")
+		}
+	case EndedOtherwise:
+		if mine {
+			a.vacate(p, "run ended before it was done")
+		}
+	}
+}
+
+// dropEnded gives back the room of a run whose task is done or whose job has ended.
+func (a *Arranger) dropEnded(w *worker, e EndReport) {
+	for p := range w.places {
+		if p.run == e.Run && p.task.name().String() == e.Task {
+			a.dropPlace(p)
+		}
+	}
+}
+
+// complete marks a task as done, or all tasks of a gang.
+func (a *Arranger) complete(now time.Time, t *task, p *place, mine bool) {
+	j := t.stage.job
+	if t.stage.step.Lasting {
+		if mine {
+			a.vacate(p, "lasting task ended")
+		}
+		return
+	}
+	if mine {
+		a.dropPlace(p)
+	}
+	tasks := []*task{t}
+	if t.stage.step.Gang {
+		tasks = t.stage.tasks
+	}
+	for _, done := range tasks {
+		if done.done {
+			continue
+		}
+		done.done = true
+		t.stage.left--
+		if done.place != nil && !t.stage.step.Gang {
+			a.stop(done.place, "done elsewhere")
+		}
+	}
+	a.begin(j)
+	if t.stage.left == 0 {
+		a.readyStages(j, now)
+		a.settle(j)
+	}
+}
+
+// countFailure counts a failed run once, and fails the job when the task has used up its attempts.
+func (a *Arranger) countFailure(now time.Time, w *worker, t *task, e EndReport) {
+	if t.failedRun >= e.Run {
+		return
+	}
+	counted := t.stage.step.Gang && t.stage.hasFailed(e.Run)
+	t.failedRun = e.Run
+	if w.health.fail(t.stage.job.ID, now) {
+		a.options.Note("worker left out", "worker", w.ID, "rest", w.health.rest.String())
+	}
+	if t.stage.step.Lasting {
+		return
+	}
+	if t.failedOn == nil {
+		t.failedOn = map[string]bool{}
+	}
+	t.failedOn[w.ID] = true
+	if counted {
+		return
+	}
+	t.failed++
+	failed := t.failed
+	if t.stage.step.Gang {
+		failed = t.stage.failures()
+	}
+	if failed >= max(1, t.stage.job.Policy.MaxAttempts) {
+		a.end(t.stage.job, Failed, "attempts used up")
+	}
+}
+
+// hasFailed reports whether a member's failure in the run was counted.
+func (s *stage) hasFailed(run int64) bool {
+	for _, t := range s.tasks {
+		if t.failedRun == run {
+			return true
+		}
+	}
+	return false
+}
+
+// failures returns how many runs of a gang have failed.
+func (s *stage) failures() int {
+	runs := 0
+	for _, t := range s.tasks {
+		runs += t.failed
+	}
+	return runs
+}
+
+func (a *Arranger) findTask(text string) *task {
+	name, err := ParseTaskName(text)
+	if err != nil {
+		return nil
+	}
+	j := a.jobs[name.Job]
+	if j == nil || j.byKey == nil {
+		return nil
+	}
+	s := j.byKey[[2]int{name.Occurrence, name.Step}]
+	if s == nil || name.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[name.Index]
+}
+
+// Refusal says why a worker surely did not start a task.
+type Refusal int
+
+// The reasons for which a worker does not start a task.
+const (
+	// RefusedBusy means that the worker turned the order away for now.
+	RefusedBusy Refusal = iota
+	// RefusedNoRoom means that the task does not fit.
+	RefusedNoRoom
+	// RefusedOld means that the run number was used up.
+	RefusedOld
+)
+
+// refusalPause keeps new work from a worker that has turned an order away.
+const refusalPause = 300 * time.Millisecond
+
+// StartConfirmed tells that the worker has the run.
+func (a *Arranger) StartConfirmed(now time.Time, name TaskName, run int64) {
+	p := a.findPlace(name, run)
+	if p == nil {
+		return
+	}
+	if p.state == placeStarting {
+		p.state = placeRunning
+		p.confirmed = now
+	}
+	a.begin(p.task.stage.job)
+}
+
+// StartRefused tells that the run surely did not start and never will.
+func (a *Arranger) StartRefused(now time.Time, name TaskName, run int64, why Refusal) {
+	p := a.findPlace(name, run)
+	if p == nil || p.state == placeRunning {
+		return
+	}
+	p.worker.blockedUntil = now.Add(refusalPause)
+	a.vacate(p, "start refused")
+}
+
+// StartUnsure tells that no answer came; the run is stopped so that it cannot begin later.
+func (a *Arranger) StartUnsure(name TaskName, run int64) {
+	if p := a.findPlace(name, run); p != nil && p.state == placeStarting {
+		a.stop(p, "start not answered")
+	}
+}
+
+// StopConfirmed tells that the worker has taken a stop, so that the run ends or never begins.
+func (a *Arranger) StopConfirmed(now time.Time, task string, run int64, workerID string) {
+	w := a.workers[workerID]
+	if w == nil {
+		return
+	}
+	for p := range w.places {
+		if p.run == run && p.state == placeStopping && p.task.name().String() == task {
+			p.confirmed = now
+		}
+	}
+}
+
+func (a *Arranger) findPlace(name TaskName, run int64) *place {
+	t := a.findTask(name.String())
+	if t == nil || t.place == nil || t.place.run != run {
+		return nil
+	}
+	return t.place
+}
--- /dev/null
+++ b/arranger/state.go
@@ -0,0 +1,163 @@
+package arranger
+
+import (
+	"time"
+)
+
+// placeState is how far a placement has come.
+type placeState uint8
+
+const (
+	// placeClaimed keeps room for a task that waits until others have left.
+	placeClaimed placeState = iota
+	// placeStarting means that the order is on its way or its outcome is unknown.
+	placeStarting
+	placeRunning
+	// placeStopping means that a stop was ordered; the room is taken until the end is reported.
+	placeStopping
+)
+
+// place is a run of a task on a worker, or the room kept for one.
+type place struct {
+	task   *task
+	worker *worker
+	run    int64
+	state  placeState
+	// began is when the place was claimed, ordered or found running.
+	began time.Time
+	// confirmed is when the worker answered the latest order; reports asked for earlier say nothing about it.
+	confirmed time.Time
+	percent   int
+	// advanced is when the percentage last rose, worked when it was first above zero.
+	advanced time.Time
+	worked   time.Time
+	// saved is when the latest checkpoint was seen.
+	saved time.Time
+	// stopOrdered is when the latest stop was ordered.
+	stopOrdered time.Time
+	reason      string
+}
+
+type task struct {
+	stage *stage
+	index int
+	done  bool
+	place *place
+	// lastRun is the highest run number used so far.
+	lastRun    int64
+	failed     int
+	failedRun  int64
+	checkpoint string
+	notBefore  time.Time
+	// failedOn are the workers on which the task failed.
+	failedOn map[string]bool
+}
+
+func (t *task) name() TaskName {
+	return TaskName{Job: t.stage.job.ID, Occurrence: t.stage.occurrence, Step: t.stage.number, Index: t.index}
+}
+
+// stage is one step of one occurrence of a job.
+type stage struct {
+	job        *job
+	occurrence int
+	number     int
+	step       Step
+	tasks      []*task
+	left       int
+	// ready is when the stage's tasks could first start; zero while earlier steps are not done.
+	ready time.Time
+}
+
+type job struct {
+	Job
+	state  State
+	stages []*stage
+	// byKey finds a stage by its occurrence and step.
+	byKey map[[2]int]*stage
+	// due is when the job is to be done, chain the estimated time of its longest chain of steps.
+	due   time.Time
+	chain time.Duration
+	// made is the number of occurrences that have stages.
+	made  int
+	begun bool
+	// early marks a job that an earlier owner may have started tasks of.
+	early    bool
+	sequence int
+}
+
+func (j *job) urgent() bool { return j.Policy.Priority == 0 }
+
+// accelerators returns the most that a step of the job needs at once.
+func (j *job) accelerators() int {
+	most := 0
+	for _, s := range j.Steps {
+		most = max(most, s.Count*s.Need.Accelerators)
+	}
+	return most
+}
+
+type worker struct {
+	Worker
+	places map[*place]bool
+	// heard tells that the worker has answered under the present owner's fence.
+	heard bool
+	// reachable tells that the latest report arrived in time.
+	reachable bool
+	// strangers are runs that no job accounts for, with the room they take; full if that is unknown.
+	strangers     map[string]Resources
+	strangersFull bool
+	// lastEnd is the number of the last end that was taken in.
+	lastEnd int64
+	// blockedUntil keeps new work away for a while after a refusal.
+	blockedUntil time.Time
+	health       health
+}
+
+// occupied returns what all places take, with those that are being vacated.
+func (w *worker) occupied() Resources {
+	var sum Resources
+	for p := range w.places {
+		sum = sum.Plus(p.task.stage.step.Need)
+	}
+	for _, r := range w.strangers {
+		sum = sum.Plus(r)
+	}
+	return sum
+}
+
+// taken returns what all runs take that were ordered, without claims.
+func (w *worker) taken() Resources {
+	var sum Resources
+	for p := range w.places {
+		if p.state != placeClaimed {
+			sum = sum.Plus(p.task.stage.step.Need)
+		}
+	}
+	for _, r := range w.strangers {
+		sum = sum.Plus(r)
+	}
+	return sum
+}
+
+// free returns what is neither occupied nor claimed.
+func (w *worker) free() Resources { return w.Capacity.Minus(w.occupied()) }
+
+// prospect returns what will be free once all that is being stopped has left.
+func (w *worker) prospect() Resources {
+	sum := w.Capacity
+	for p := range w.places {
+		if p.state != placeStopping {
+			sum = sum.Minus(p.task.stage.step.Need)
+		}
+	}
+	for _, r := range w.strangers {
+		sum = sum.Minus(r)
+	}
+	return sum
+}
+
+// takes reports whether the worker may be given new work.
+func (w *worker) takes(now time.Time) bool {
+	return w.heard && w.reachable && !w.Draining && !w.strangersFull && !now.Before(w.blockedUntil) && w.health.usable(now)
+}
--- /dev/null
+++ b/director/director.go
@@ -0,0 +1,99 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+	"github.com/snipelift/snipelift/sleeper"
+)
+
+const (
+	// watchPause is the time between two looks at the lease.
+	watchPause = 400 * time.Millisecond
+	// watchGap is the time between two answered looks after which the wait for a silent owner begins anew, since the owner may have been kept from the store as well.
+	watchGap = 1300 * time.Millisecond
+	// leaseSilence is how long a lease must stay unchanged before another takes it.
+	leaseSilence = 2600 * time.Millisecond
+	// actLimit is how long an owner goes on without a renewal, so that an outage of the store does not stop the service.
+	actLimit = 6 * time.Second
+	// strictLimit is the age of a renewal at which nobody else can hold the lease yet.
+	strictLimit = 2 * time.Second
+)
+
+// Director takes part in the choice of the owner and is the owner while it holds the lease.
+type Director struct {
+	Node        string
+	Incarnation string
+	Store       *platform.Store
+	Workers     *platform.Workers
+	Config      *follower.Follower
+	Bounds      platform.Bounds
+	Logger      *slog.Logger
+}
+
+// Run takes part until the context ends, then releases the lease if it holds it.
+func (d *Director) Run(ctx context.Context) {
+	w := leaseWatch{}
+	for ctx.Err() == nil {
+		row, err := d.Store.Get(ctx, registrar.LeaseTable, registrar.OwnerPart, registrar.LeaseKey)
+		now := sinceBoot()
+		if err != nil {
+			sleeper.Sleep(ctx, watchPause)
+			continue
+		}
+		lease, decodeErr := registrar.Decode[registrar.Lease](row)
+		if row.Version != 0 && decodeErr != nil {
+			d.Logger.Error("lease unreadable", "error", decodeErr.Error())
+		}
+		if w.mayTake(now, row, lease, d.Node) && d.Config.Current() != nil {
+			if d.reign(ctx, row, lease) {
+				w = leaseWatch{}
+				continue
+			}
+		}
+		pause := watchPause/2 + time.Duration(rand.Int64N(int64(watchPause))) //nolint:gosec // Jitter needs no secrecy.
+		sleeper.Sleep(ctx, pause)
+	}
+}
+
+// leaseWatch decides when a lease may be taken; it holds no clock of its own.
+type leaseWatch struct {
+	version   int64
+	unchanged time.Duration
+	looked    time.Duration
+}
+
+// mayTake reports whether the lease, as read now, is free: nobody's, released, of an earlier process of this VM, or silent for long enough.
+func (w *leaseWatch) mayTake(now time.Duration, row platform.Row, lease registrar.Lease, node string) bool {
+	if row.Version != w.version || w.looked == 0 || now-w.looked > watchGap {
+		w.version = row.Version
+		w.unchanged = now
+	}
+	w.looked = now
+	return row.Version == 0 || lease.Released || lease.Node == node || now-w.unchanged >= leaseSilence
+}
+
+// reign takes the lease and is the owner until it loses it; it reports whether it was.
+func (d *Director) reign(ctx context.Context, row platform.Row, old registrar.Lease) bool {
+	taken := sinceBoot()
+	lease := registrar.Lease{Node: d.Node, Incarnation: d.Incarnation, Epoch: old.Epoch + 1}
+	next := row
+	next.Value = registrar.Encode(lease)
+	outcome, err := d.Store.Transact(ctx, platform.Transaction{Expect: []platform.Row{row}, Put: []platform.Row{next}})
+	if err != nil {
+		if !errors.Is(err, platform.ErrConflict) {
+			d.Logger.Warn("lease not taken", "epoch", lease.Epoch, "error", err.Error())
+		}
+		return false
+	}
+	d.Logger.Info("lease taken", "epoch", lease.Epoch, "version", outcome.Version, "before", old.Node, "released", old.Released)
+	t := newTerm(d, lease, outcome.Version, taken)
+	t.run(ctx)
+	return true
+}
--- /dev/null
+++ b/director/orders.go
@@ -0,0 +1,122 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/sleeper"
+)
+
+const (
+	// startTries is the number of times that a start is sent before it counts as unanswered.
+	startTries = 2
+	// stopTries is the number of times that a stop is sent; the arranger orders it again later.
+	stopTries = 3
+	// orderRetry is the time between two tries of an order.
+	orderRetry = 60 * time.Millisecond
+)
+
+// dispatch carries out the orders that were decided; the term's lock is held.
+func (t *term) dispatch(ctx context.Context) {
+	orders := t.arranger.TakeOrders()
+	for _, o := range orders.Starts {
+		s := t.sessions[o.Worker]
+		if s == nil || !s.heard {
+			t.arranger.StartRefused(time.Now(), o.Task, o.Run, arranger.RefusedBusy)
+			continue
+		}
+		start := platform.StartOrder{
+			Task: o.Task.String(), Run: o.Run, Spec: o.Payload, LeaseUntil: s.nextLease(), Fence: t.lease.Epoch, Checkpoint: o.Checkpoint,
+		}
+		t.Logger.Info("start ordered", "job", o.Task.Job, "task", start.Task, "run", o.Run, "worker", o.Worker,
+			"checkpoint", o.Checkpoint, "reason", o.Reason, "epoch", t.lease.Epoch, "heardAgo", (sinceBoot() - s.at).String())
+		t.spawn(func() { t.start(ctx, s, o, start) })
+	}
+	for _, o := range orders.Stops {
+		s := t.sessions[o.Worker]
+		if s == nil {
+			continue
+		}
+		t.Logger.Info("stop ordered", "task", o.Task, "run", o.Run, "worker", o.Worker, "reason", o.Reason, "epoch", t.lease.Epoch)
+		t.spawn(func() { t.stop(ctx, s, o) })
+	}
+}
+
+// start sends a start until its outcome is known, or gives up on it.
+func (t *term) start(ctx context.Context, s *session, o arranger.StartOrder, start platform.StartOrder) {
+	var err error
+	lost := false
+	for range startTries {
+		if ctx.Err() != nil || !t.mayAct() {
+			return
+		}
+		_, err = t.Workers.Start(ctx, s.worker.ID, s.worker.Address, start)
+		if !errors.Is(err, platform.ErrUnknown) {
+			break
+		}
+		lost = true
+		sleeper.Sleep(ctx, orderRetry)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if lost && err != nil && !errors.Is(err, platform.ErrFenced) && !errors.Is(err, platform.ErrOtherLife) {
+		// An earlier try may have been carried out, or may still be.
+		err = fmt.Errorf("%w, then: %w", platform.ErrUnknown, err)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settleStart(s, o, err)
+	t.wake()
+	t.writer.signal()
+}
+
+// settleStart tells the arranger what became of a start; the term's lock is held.
+func (t *term) settleStart(s *session, o arranger.StartOrder, err error) {
+	now := time.Now()
+	if err != nil {
+		t.Logger.Warn("start not carried out", "job", o.Task.Job, "task", o.Task.String(), "run", o.Run, "worker", o.Worker, "error", err.Error())
+	}
+	switch {
+	case err == nil:
+		t.arranger.StartConfirmed(now, o.Task, o.Run)
+	case errors.Is(err, platform.ErrFenced):
+		t.cancel()
+	case errors.Is(err, platform.ErrOtherLife):
+		t.closeSession(s, "another worker at its address")
+	case errors.Is(err, platform.ErrUnknown):
+		t.arranger.StartUnsure(o.Task, o.Run)
+	case errors.Is(err, platform.ErrNoRoom):
+		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedNoRoom)
+	case errors.Is(err, platform.ErrOldRun):
+		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedOld)
+	default:
+		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedBusy)
+	}
+}
+
+// stop sends a stop until the worker has taken it.
+func (t *term) stop(ctx context.Context, s *session, o arranger.StopOrder) {
+	for range stopTries {
+		if ctx.Err() != nil || !t.mayAct() {
+			return
+		}
+		err := t.Workers.Stop(ctx, s.worker.ID, s.worker.Address, o.Task, o.Run, t.lease.Epoch)
+		if err == nil {
+			t.mu.Lock()
+			t.arranger.StopConfirmed(time.Now(), o.Task, o.Run, o.Worker)
+			t.mu.Unlock()
+			return
+		}
+		if errors.Is(err, platform.ErrFenced) {
+			t.cancel()
+			return
+		}
+		t.Logger.Warn("stop not carried out", "task", o.Task, "run", o.Run, "worker", o.Worker, "error", err.Error())
+		sleeper.Sleep(ctx, orderRetry)
+	}
+}
--- /dev/null
+++ b/director/term.go
@@ -0,0 +1,274 @@
+package director
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/snipelift/snipelift/acceptor"
+	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+	"github.com/snipelift/snipelift/sleeper"
+)
+
+const (
+	// workerLease is the lease given to what runs on a worker; it outlasts a change of the owner after a loss of all VMs.
+	workerLease = 9 * time.Second
+	// clockTolerance is how much slower than ours a worker's clock may run.
+	clockTolerance = 1.02
+	// lapseSlack covers the way of an order to a worker.
+	lapseSlack = 400 * time.Millisecond
+	// runsPerEpoch separates the run numbers of successive owners.
+	runsPerEpoch = 1 << 20
+	// planPause lets several changes be planned for together.
+	planPause = 3 * time.Millisecond
+	// planInterval is the longest time between two plans.
+	planInterval = 150 * time.Millisecond
+	// loadPause is the time between tries to load the state.
+	loadPause = 150 * time.Millisecond
+)
+
+// term is one time as owner.
+type term struct {
+	*Director
+
+	// base ends with the term.
+	base    context.Context //nolint:containedctx // Sessions are opened by events, under the term's context.
+	lease   registrar.Lease
+	version int64
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	arranger *arranger.Arranger
+	sessions map[string]*session
+	// early is the version up to which an earlier owner may have read jobs.
+	early int64
+	// queues and organisations of jobs that have not ended are needed for their records.
+	records map[string]jobRecord
+	writer  writer
+	view    *follower.View
+}
+
+// jobRecord is what is kept of a job for its progress row.
+type jobRecord struct {
+	queue, organisation string
+	ended               time.Time
+}
+
+func newTerm(d *Director, lease registrar.Lease, version int64, taken time.Duration) *term {
+	t := &term{
+		Director: d, lease: lease, version: version, early: version,
+		kick: make(chan struct{}, 1), sessions: map[string]*session{}, records: map[string]jobRecord{},
+	}
+	t.arranger = arranger.New(arranger.Options{
+		FirstRun: lease.Epoch * runsPerEpoch, StopTime: d.Bounds.StopTime, RemoteFactor: d.Bounds.RemoteFactor,
+		Note: func(message string, details ...any) { d.Logger.Info(message, append(details, "epoch", lease.Epoch)...) },
+	})
+	t.writer.init(version, taken)
+	return t
+}
+
+// run is the owner until the lease is lost or the context ends.
+func (t *term) run(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	t.base, t.cancel = ctx, cancel
+	defer cancel()
+	t.spawn(func() { t.write(ctx) })
+	from, ok := t.load(ctx)
+	if ok {
+		t.spawn(func() { t.followJobs(ctx, from) })
+		t.spawn(func() { t.followWorkers(ctx) })
+		t.spawn(func() { t.plan(ctx) })
+	}
+	<-ctx.Done()
+	t.tasks.Wait()
+	if parent.Err() != nil {
+		t.release()
+	}
+	t.Logger.Info("lease given up", "epoch", t.lease.Epoch)
+}
+
+func (t *term) spawn(f func()) {
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		f()
+	}()
+}
+
+// wake asks for a new plan.
+func (t *term) wake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// mayAct reports whether orders may be given: the lease was renewed not too long ago.
+func (t *term) mayAct() bool { return sinceBoot()-t.writer.renewedAt() < actLimit }
+
+// load reads all jobs and what is recorded of them, and returns the version from which to follow.
+func (t *term) load(ctx context.Context) (int64, bool) {
+	for ctx.Err() == nil {
+		from, err := t.loadOnce(ctx)
+		if err == nil {
+			return from, true
+		}
+		t.Logger.Warn("state not loaded", "error", err.Error())
+		sleeper.Sleep(ctx, loadPause)
+	}
+	return 0, false
+}
+
+func (t *term) loadOnce(ctx context.Context) (int64, error) {
+	progress, err := t.Store.Range(ctx, registrar.ProgressTable, registrar.OwnerPart, "", "")
+	if err != nil {
+		return 0, err
+	}
+	known, err := t.Store.Get(ctx, registrar.FleetTable, registrar.OwnerPart, registrar.WorkersKey)
+	if err != nil {
+		return 0, err
+	}
+	listed, err := t.Store.Range(ctx, platform.WorkerTable, "", "", "")
+	if err != nil {
+		return 0, err
+	}
+	from := int64(-1)
+	var rows []platform.Row
+	for _, part := range registrar.Parts() {
+		page, err := t.Store.Range(ctx, registrar.JobTable, part, "", "")
+		if err != nil {
+			return 0, err
+		}
+		if from < 0 || page.Version < from {
+			from = page.Version
+		}
+		rows = append(rows, page.Rows...)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.takeConfig()
+	recorded := map[string]registrar.Progress{}
+	for _, row := range progress.Rows {
+		p, err := registrar.Decode[registrar.Progress](row)
+		if err != nil {
+			t.Logger.Error("progress unreadable", "job", row.Key, "error", err.Error())
+			continue
+		}
+		recorded[row.Key] = p
+	}
+	t.expectWorkers(known, listed.Rows)
+	t.takeJobRows(rows, recorded)
+	t.Logger.Info("state loaded", "epoch", t.lease.Epoch, "jobs", len(rows), "progress", len(recorded), "from", from, "workers", len(listed.Rows))
+	return from, nil
+}
+
+// expectWorkers lists the workers that an earlier owner may have given orders to.
+func (t *term) expectWorkers(known platform.Row, listed []platform.Row) {
+	lapsed := time.Now().Add(time.Duration(float64(actLimit-leaseSilence+workerLease)*clockTolerance) + lapseSlack)
+	if known.Version != 0 {
+		workers, err := registrar.Decode[[]registrar.KnownWorker](known)
+		if err != nil {
+			t.Logger.Error("list of workers unreadable", "error", err.Error())
+		}
+		for _, w := range workers {
+			t.arranger.ExpectReport(w.ID, lapsed)
+			t.openSession(arranger.Worker{ID: w.ID, Address: w.Address, Born: w.Born, Draining: true})
+		}
+	}
+	t.takeWorkerRows(listed)
+}
+
+// takeJobRows takes in accepted jobs and wishes to cancel them.
+func (t *term) takeJobRows(rows []platform.Row, recorded map[string]registrar.Progress) {
+	now := time.Now()
+	var cancelled []string
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		if id, ok := registrar.CancelledJob(row.Key); ok {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		if t.arranger.Knows(row.Key) {
+			continue
+		}
+		j, err := registrar.Decode[registrar.Job](row)
+		if err != nil {
+			t.Logger.Error("job unreadable", "job", row.Key, "error", err.Error())
+			continue
+		}
+		j.Recorded = row.Version
+		if policy, ok := t.policyOf(j.Queue); ok {
+			j.Policy = policy
+		}
+		p := recorded[j.ID]
+		record := jobRecord{queue: j.Queue, organisation: j.Organisation}
+		if p.EndedMillis > 0 {
+			record.ended = time.UnixMilli(p.EndedMillis)
+		}
+		t.records[j.ID] = record
+		t.arranger.AddJob(now, j.Job, p.Progress, row.Version <= t.early)
+		t.Logger.Info("job taken in", "job", j.ID, "queue", j.Queue, "row", row.Version, "state", p.State, "age", now.Sub(j.Accepted).String())
+	}
+	for _, id := range cancelled {
+		t.arranger.Cancel(id)
+	}
+}
+
+// takeConfig applies the configuration in force.
+func (t *term) takeConfig() {
+	view := t.Config.Current()
+	if view == nil || (t.view != nil && t.view.Version == view.Version) {
+		return
+	}
+	t.view = view
+	guaranteed := map[string]int{}
+	for _, o := range view.Organisations {
+		guaranteed[o.Name] = o.Guaranteed
+	}
+	t.arranger.SetGuarantees(guaranteed)
+	for _, q := range view.Queues {
+		t.arranger.SetPolicy(q.Name, acceptor.PolicyOf(q))
+	}
+}
+
+func (t *term) policyOf(queue string) (arranger.Policy, bool) {
+	if t.view == nil {
+		return arranger.Policy{}, false
+	}
+	for _, q := range t.view.Queues {
+		if q.Name == queue {
+			return acceptor.PolicyOf(q), true
+		}
+	}
+	return arranger.Policy{}, false
+}
+
+// plan decides and gives orders whenever something has changed.
+func (t *term) plan(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+			sleeper.Sleep(ctx, planPause)
+		case <-ticker.C:
+		}
+		if !t.mayAct() {
+			continue
+		}
+		t.mu.Lock()
+		t.takeConfig()
+		t.arranger.Plan(time.Now())
+		t.dispatch(ctx)
+		t.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/director/writer.go
@@ -0,0 +1,311 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+	"github.com/snipelift/snipelift/sleeper"
+)
+
+const (
+	// renewInterval is the longest time between two writes of an owner.
+	renewInterval = 700 * time.Millisecond
+	// writePause lets several changes be recorded together.
+	writePause = 4 * time.Millisecond
+	// writeRetry is the time before a write is repeated that the store turned away.
+	writeRetry = 120 * time.Millisecond
+	// maxRows is the number of progress rows in one transaction; the store takes 100 entries, the lease and the fleet's rows among them.
+	maxRows = 90
+	// pendingInterval is the least time between two records of the numbers of waiting jobs.
+	pendingInterval = 400 * time.Millisecond
+)
+
+// writer holds what is on its way into the store.
+type writer struct {
+	wakeup  chan struct{}
+	version int64
+	renewed atomic.Int64
+
+	mu sync.Mutex
+	// dirty are the jobs whose progress is to be recorded.
+	dirty map[string]bool
+	// changes counts what happened; recorded is the count up to which the store knows.
+	changes, recorded uint64
+	workers           []registrar.KnownWorker
+	workersChanged    bool
+	pending           map[string]int
+	pendingAt         time.Duration
+}
+
+func (w *writer) init(version int64, taken time.Duration) {
+	w.version = version
+	w.renewed.Store(int64(taken))
+	w.wakeup = make(chan struct{}, 1)
+	w.dirty = map[string]bool{}
+}
+
+// renewedAt returns when the latest write was sent that the store confirmed.
+func (w *writer) renewedAt() time.Duration { return time.Duration(w.renewed.Load()) }
+
+func (w *writer) signal() {
+	select {
+	case w.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// change notes jobs to be recorded and returns the count to wait for.
+func (w *writer) change(ids []string) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		w.dirty[id] = true
+	}
+	w.changes++
+	return w.changes
+}
+
+// isRecorded reports whether the store knows of all changes up to the count.
+func (w *writer) isRecorded(count uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.recorded >= count
+}
+
+// batch is one write.
+type batch struct {
+	ids        []string
+	changes    uint64
+	whole      bool
+	puts       []platform.Row
+	removes    []platform.Row
+	withFleet  bool
+	newPending map[string]int
+}
+
+// write records changes and renews the lease until the context ends or the lease is lost.
+func (t *term) write(ctx context.Context) {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.writer.wakeup:
+			sleeper.Sleep(ctx, writePause)
+		case <-timer.C:
+		}
+		for t.writeOnce(ctx) && ctx.Err() == nil {
+			continue
+		}
+		timer.Reset(renewInterval)
+	}
+}
+
+// writeOnce makes one write and reports whether more is to be written.
+func (t *term) writeOnce(ctx context.Context) bool {
+	b := t.nextBatch()
+	sent := sinceBoot()
+	if len(b.puts) == 0 && len(b.removes) == 0 && sent-t.writer.renewedAt() < renewInterval/2 {
+		t.finishBatch(b)
+		return false
+	}
+	err := t.send(ctx, b)
+	switch {
+	case err == nil:
+		t.writer.renewed.Store(int64(sent))
+		t.finishBatch(b)
+		return !b.whole
+	case errors.Is(err, errDeposed):
+		t.Logger.Warn("lease lost", "epoch", t.lease.Epoch)
+		t.cancel()
+		return false
+	default:
+		t.returnBatch(b)
+		if ctx.Err() == nil {
+			t.Logger.Warn("progress not recorded", "error", err.Error(), "rows", len(b.puts))
+		}
+		sleeper.Sleep(ctx, writeRetry)
+		return ctx.Err() == nil
+	}
+}
+
+// errDeposed means that another process holds the lease.
+var errDeposed = errors.New("another holds the lease")
+
+func (t *term) leaseRow() platform.Row {
+	return platform.Row{Table: registrar.LeaseTable, Part: registrar.OwnerPart, Key: registrar.LeaseKey, Version: t.writer.version}
+}
+
+// send writes a batch under the lease; after a lost answer it first finds out which version the lease has.
+func (t *term) send(ctx context.Context, b batch) error {
+	t.lease.Renewal++
+	expected := t.leaseRow()
+	renewed := expected
+	renewed.Value = registrar.Encode(t.lease)
+	outcome, err := t.Store.Transact(ctx, platform.Transaction{
+		Expect: []platform.Row{expected},
+		Put:    append([]platform.Row{renewed}, b.puts...),
+		Remove: b.removes,
+	})
+	switch {
+	case err == nil:
+		t.writer.version = outcome.Version
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		for _, row := range outcome.Rows {
+			if row.Key == registrar.LeaseKey {
+				return t.adoptVersion(row)
+			}
+		}
+		return t.rereadLease(ctx)
+	case errors.Is(err, platform.ErrUnknown):
+		return t.rereadLease(ctx)
+	default:
+		return err
+	}
+}
+
+// errRepeat means that an earlier write was carried out late, so that the batch has to be written again.
+var errRepeat = errors.New("an earlier write came late")
+
+func (t *term) adoptVersion(row platform.Row) error {
+	lease, err := registrar.Decode[registrar.Lease](row)
+	if err != nil {
+		return err
+	}
+	if lease.Incarnation != t.lease.Incarnation || lease.Epoch != t.lease.Epoch {
+		return errDeposed
+	}
+	t.writer.version = row.Version
+	return errRepeat
+}
+
+func (t *term) rereadLease(ctx context.Context) error {
+	row, err := t.Store.Get(ctx, registrar.LeaseTable, registrar.OwnerPart, registrar.LeaseKey)
+	if err != nil {
+		return err
+	}
+	return t.adoptVersion(row)
+}
+
+// nextBatch takes what is to be written next.
+func (t *term) nextBatch() batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	dirty := t.arranger.TakeDirty()
+	w := &t.writer
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range dirty {
+		w.dirty[id] = true
+	}
+	b := batch{changes: w.changes, whole: true}
+	for id := range w.dirty {
+		if len(b.ids) == maxRows {
+			b.whole = false
+			break
+		}
+		b.ids = append(b.ids, id)
+	}
+	for _, id := range b.ids {
+		delete(w.dirty, id)
+		b.puts = append(b.puts, t.progressRow(id))
+	}
+	if w.workersChanged {
+		b.withFleet = true
+		w.workersChanged = false
+		b.puts = append(b.puts, platform.Row{
+			Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.WorkersKey, Value: registrar.Encode(w.workers),
+		})
+	}
+	if now := sinceBoot(); now-w.pendingAt >= pendingInterval {
+		if pending := t.arranger.Pending(); !maps.Equal(pending, w.pending) {
+			b.newPending = pending
+			w.pendingAt = now
+			b.puts = append(b.puts, platform.Row{
+				Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.PendingKey, Value: registrar.Encode(pending),
+			})
+		}
+	}
+	return b
+}
+
+func (t *term) progressRow(id string) platform.Row {
+	record := t.records[id]
+	p := registrar.Progress{Progress: t.arranger.Progress(id), Organisation: record.organisation, Queue: record.queue}
+	if p.State.Final() {
+		if record.ended.IsZero() {
+			record.ended = time.Now()
+			t.records[id] = record
+		}
+		p.EndedMillis = record.ended.UnixMilli()
+	}
+	row := registrar.ProgressRow(id)
+	row.Value = registrar.Encode(p)
+	return row
+}
+
+func (t *term) finishBatch(b batch) {
+	w := &t.writer
+	w.mu.Lock()
+	if b.whole {
+		w.recorded = max(w.recorded, b.changes)
+	}
+	if b.newPending != nil {
+		w.pending = b.newPending
+	}
+	w.mu.Unlock()
+	t.mu.Lock()
+	for _, s := range t.sessions {
+		s.noticeRecorded()
+	}
+	t.mu.Unlock()
+}
+
+// returnBatch puts back what was not written.
+func (t *term) returnBatch(b batch) {
+	w := &t.writer
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range b.ids {
+		w.dirty[id] = true
+	}
+	if b.withFleet {
+		w.workersChanged = true
+	}
+	if b.newPending != nil {
+		w.pendingAt = 0
+	}
+}
+
+// releaseTimeout bounds the last write of an owner that ends in good order.
+const releaseTimeout = 800 * time.Millisecond
+
+// release records what is left and lets others take the lease at once.
+func (t *term) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	t.lease.Released = true
+	for range 3 {
+		b := t.nextBatch()
+		err := t.send(ctx, b)
+		if err == nil && b.whole {
+			t.Logger.Info("lease released", "epoch", t.lease.Epoch)
+			return
+		}
+		if err != nil && !errors.Is(err, errRepeat) {
+			t.Logger.Warn("lease not released", "epoch", t.lease.Epoch, "error", err.Error())
+			return
+		}
+		if err != nil {
+			t.returnBatch(b)
+		}
+	}
+}
--- /dev/null
+++ b/follower/doc.go
@@ -0,0 +1,2 @@
+// Package follower keeps an entry at the operator's newest configuration.
+package follower
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,158 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/sleeper"
+)
+
+const (
+	// feedWait bounds one wait for a change, so that a connection that went silent is noticed within the time in which a configuration has to be in force.
+	feedWait = 700 * time.Millisecond
+	// retryPause is the time between tries while the store does not answer.
+	retryPause = 150 * time.Millisecond
+	// contactLimit is the time without an answer after which the store counts as out of reach.
+	contactLimit = 2500 * time.Millisecond
+)
+
+// Follower holds the newest configuration that this process has read; it never goes back to an older one.
+type Follower struct {
+	Store  *platform.Store
+	Logger *slog.Logger
+	// OnChange is called with each new configuration.
+	OnChange func(*View)
+
+	current atomic.Pointer[View]
+	contact atomic.Int64
+	lost    atomic.Bool
+}
+
+// View is a configuration with an index of its queues and keys.
+type View struct {
+	platform.Config
+
+	organisations map[string]string
+	byHost        map[string][]platform.Queue
+}
+
+func newView(c platform.Config) *View {
+	v := &View{Config: c, organisations: map[string]string{}, byHost: map[string][]platform.Queue{}}
+	for _, o := range c.Organisations {
+		for _, key := range o.Keys {
+			v.organisations[key] = o.Name
+		}
+	}
+	for _, q := range c.Queues {
+		host := strings.ToLower(q.Host)
+		v.byHost[host] = append(v.byHost[host], q)
+	}
+	return v
+}
+
+// Organisation returns the organisation that a key belongs to, or false.
+func (v *View) Organisation(key string) (string, bool) {
+	name, ok := v.organisations[key]
+	return name, ok
+}
+
+// Queue returns the queue with the longest prefix of the path at the host, or false.
+func (v *View) Queue(host, path string) (platform.Queue, bool) {
+	var best platform.Queue
+	found := false
+	for _, q := range v.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, q.Prefix) && (!found || len(q.Prefix) > len(best.Prefix)) {
+			best, found = q, true
+		}
+	}
+	return best, found
+}
+
+// Current returns the configuration, or nil before the first was read.
+func (f *Follower) Current() *View { return f.current.Load() }
+
+// InContact reports whether the store has answered lately.
+func (f *Follower) InContact() bool {
+	return time.Since(time.UnixMilli(f.contact.Load())) < contactLimit
+}
+
+// Run follows the configuration until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	version := int64(-1)
+	for ctx.Err() == nil {
+		var err error
+		if version < 0 {
+			version, err = f.read(ctx)
+		} else {
+			version, err = f.follow(ctx, version)
+		}
+		f.noteContact(err)
+		if err != nil && ctx.Err() == nil {
+			sleeper.Sleep(ctx, retryPause)
+		}
+	}
+}
+
+// read takes the configuration as it is now and returns the version to follow from.
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	page, err := f.Store.Range(ctx, platform.OperatorTable, "", "", "")
+	if err != nil {
+		return -1, err
+	}
+	f.apply(page.Rows)
+	return page.Version, nil
+}
+
+func (f *Follower) follow(ctx context.Context, version int64) (int64, error) {
+	page, err := f.Store.Feed(ctx, platform.OperatorTable, version, feedWait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.Logger.Info("configuration history gone, reading anew", "version", version)
+		return -1, nil
+	}
+	if err != nil {
+		return version, err
+	}
+	f.apply(page.Rows)
+	return max(version, page.Version), nil
+}
+
+func (f *Follower) noteContact(err error) {
+	if err == nil {
+		f.contact.Store(time.Now().UnixMilli())
+		if f.lost.Swap(false) {
+			f.Logger.Info("store answers again")
+		}
+		return
+	}
+	if !f.lost.Swap(true) {
+		f.Logger.Warn("store does not answer", "error", err.Error())
+	}
+}
+
+func (f *Follower) apply(rows []platform.Row) {
+	for _, r := range rows {
+		if r.Key != platform.ConfigKey || r.Deleted {
+			continue
+		}
+		c, err := platform.DecodeConfig(r.Value)
+		if err != nil {
+			f.Logger.Error("configuration unreadable, the earlier one stays in force", "row", r.Version, "error", err.Error())
+			continue
+		}
+		old := f.current.Load()
+		if old != nil && c.Version <= old.Version {
+			continue
+		}
+		v := newView(c)
+		f.current.Store(v)
+		f.Logger.Info("configuration in force", "version", c.Version, "row", r.Version, "queues", len(c.Queues), "organisations", len(c.Organisations))
+		if f.OnChange != nil {
+			f.OnChange(v)
+		}
+	}
+}
--- /dev/null
+++ b/hoster/metrics.go
@@ -0,0 +1,78 @@
+package hoster
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/snipelift/snipelift/counter"
+	"github.com/snipelift/snipelift/logger"
+)
+
+const (
+	// sampleSize bounds the memory of one latency histogram.
+	sampleSize = 256
+	// sampleAlpha weighs recent values, as go-metrics proposes for the last five minutes.
+	sampleAlpha = 0.015
+)
+
+// metricSet serves the process's counters and latency histograms as text.
+type metricSet struct{ registry metrics.Registry }
+
+func newMetrics() *metricSet {
+	m := &metricSet{registry: metrics.NewRegistry()}
+	counter.Process(m.registry)
+	_ = m.registry.Register("log.droppedLines", metrics.NewFunctionalGauge(logger.Dropped))
+	return m
+}
+
+func (m *metricSet) histogram(name string) metrics.Histogram {
+	return m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram) //nolint:forcetypeassert // Each name is registered with one type.
+}
+
+func (m *metricSet) count(name string) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// observeStore takes the outcome of one call to the store.
+func (m *metricSet) observeStore(path string, took time.Duration, err error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "?")
+	m.histogram("store." + name + ".micros").Update(took.Microseconds())
+	if err != nil {
+		m.count("store." + name + ".errors")
+	}
+}
+
+// timed counts and times the calls of clients by method and status.
+func (m *metricSet) timed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(recorder, r)
+		m.count(fmt.Sprintf("client.%s.%d", r.Method, recorder.status))
+		m.histogram("client." + r.Method + ".micros").Update(time.Since(began).Microseconds())
+	})
+}
+
+type statusRecorder struct {
+	http.ResponseWriter
+
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (s *statusRecorder) WriteHeader(status int) {
+	s.status = status
+	s.ResponseWriter.WriteHeader(status)
+}
+
+// ServeHTTP implements http.Handler.
+func (m *metricSet) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(m.registry, w)
+}
--- /dev/null
+++ b/logger/doc.go
@@ -0,0 +1,2 @@
+// Package logger writes structured logs without ever holding up the code that logs.
+package logger
--- /dev/null
+++ b/registrar/rows.go
@@ -0,0 +1,123 @@
+package registrar
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/platform"
+)
+
+const (
+	// JobTable holds accepted jobs and wishes to cancel them, spread over parts by the job's ID.
+	JobTable = "jobs"
+	// ProgressTable holds what the owner recorded of jobs; it shares its part with the lease, so that each write is fenced.
+	ProgressTable = "progress"
+	// LeaseTable holds the row that names the owner.
+	LeaseTable = "lease"
+	// FleetTable holds the workers that an owner has given orders to, and the numbers of waiting jobs.
+	FleetTable = "fleet"
+	// OwnerPart is the part of all rows that only the owner writes.
+	OwnerPart = "owner"
+	// LeaseKey, WorkersKey and PendingKey name single rows.
+	LeaseKey   = "lease"
+	WorkersKey = "workers"
+	PendingKey = "pending"
+)
+
+const (
+	// partCount spreads acceptance over parts, each of which applies one transaction after another.
+	partCount = 8
+	// cancelSuffix ends the key of a wish to cancel; job IDs are hexadecimal digits.
+	cancelSuffix = "!cancel"
+)
+
+// Part returns the part of a job's rows.
+func Part(jobID string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(jobID))
+	return fmt.Sprintf("s%d", h.Sum32()%partCount)
+}
+
+// Parts returns all parts of the job table.
+func Parts() []string {
+	parts := make([]string, partCount)
+	for i := range parts {
+		parts[i] = fmt.Sprintf("s%d", i)
+	}
+	return parts
+}
+
+// JobRow returns the row of an accepted job; the version is the one that it is expected to have.
+func JobRow(jobID string, version int64) platform.Row {
+	return platform.Row{Table: JobTable, Part: Part(jobID), Key: jobID, Version: version}
+}
+
+// CancelRow returns the row of the wish to cancel a job.
+func CancelRow(jobID string) platform.Row {
+	return platform.Row{Table: JobTable, Part: Part(jobID), Key: jobID + cancelSuffix}
+}
+
+// ProgressRow returns the row of a job's progress.
+func ProgressRow(jobID string) platform.Row {
+	return platform.Row{Table: ProgressTable, Part: OwnerPart, Key: jobID}
+}
+
+// CancelledJob returns the job that a key of the job table asks to cancel, or false.
+func CancelledJob(key string) (string, bool) { return strings.CutSuffix(key, cancelSuffix) }
+
+// Job is the record of an accepted job.
+type Job struct {
+	arranger.Job
+
+	// Digest tells equal submissions from different ones under one ID.
+	Digest string `json:"digest"`
+}
+
+// Progress is the record of how far a job has come.
+type Progress struct {
+	arranger.Progress
+
+	Organisation string `json:"organisation"`
+	Queue        string `json:"queue"`
+	// EndedMillis is the Unix time at which the job ended, or 0.
+	EndedMillis int64 `json:"endedMillis,omitempty"`
+}
+
+// Lease is the record of who owns the service; Epoch is the fencing token of its orders.
+type Lease struct {
+	Node string `json:"node"`
+	// Incarnation tells processes of one VM apart.
+	Incarnation string `json:"incarnation"`
+	Epoch       int64  `json:"epoch"`
+	Released    bool   `json:"released,omitempty"`
+	// Renewal rises with each write of this owner.
+	Renewal int64 `json:"renewal"`
+}
+
+// KnownWorker is a worker that an owner may have given orders to.
+type KnownWorker struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Born    int64  `json:"born"`
+}
+
+// Encode returns the value of a row.
+func Encode(record any) []byte {
+	data, err := json.Marshal(record)
+	if err != nil {
+		panic("registrar: record cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// Decode reads the value of a row.
+func Decode[T any](row platform.Row) (T, error) {
+	var record T
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return record, fmt.Errorf("decode row %s/%s: %w", row.Table, row.Key, err)
+	}
+	return record, nil
+}
