Count each failed run once, in whichever order they are reported

Cause: a new owner hears of ends from several workers in any order. Ruled out: an end acknowledged before it was recorded (the third end was listed to the new owner). Change: the failed runs are kept as a set, also in the progress row; a gang counts distinct runs over its members.

--- /dev/null
+++ b/arranger/check.go
@@ -0,0 +1,83 @@
+package arranger
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrBroken means that the state contradicts itself.
+var ErrBroken = errors.New("invariant broken")
+
+// Check returns ErrBroken if a worker is given more than it has, a task has two places, or a gang has runs of several numbers.
+func (a *Arranger) Check() error {
+	for _, w := range a.order {
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	for _, j := range a.active {
+		for _, s := range j.stages {
+			if err := s.check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *worker) check() error {
+	taken := Resources{}
+	for p := range w.places {
+		if p.worker != w {
+			return fmt.Errorf("%w: place of %s is listed at another worker", ErrBroken, p.task.name())
+		}
+		if p.state != placeClaimed {
+			taken = taken.Plus(p.task.stage.step.Need)
+		}
+	}
+	if w.heard && len(w.places) > 0 && !w.adopted() && !w.Capacity.Covers(taken) {
+		return fmt.Errorf("%w: worker %s has %+v and is given %+v", ErrBroken, w.ID, w.Capacity, taken)
+	}
+	return nil
+}
+
+// adopted reports whether the worker has runs of an earlier owner, of which it is the only judge.
+func (w *worker) adopted() bool {
+	for p := range w.places {
+		if p.adopted {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *stage) check() error {
+	left := 0
+	var run int64
+	for _, t := range s.tasks {
+		if !t.done {
+			left++
+		}
+		p := t.place
+		if p == nil {
+			continue
+		}
+		if !p.worker.places[p] {
+			return fmt.Errorf("%w: place of %s is unknown to its worker", ErrBroken, t.name())
+		}
+		if s.ready.IsZero() && p.state != placeStopping {
+			return fmt.Errorf("%w: %s runs before its step is ready", ErrBroken, t.name())
+		}
+		if !s.step.Gang || p.state != placeStarting && p.state != placeRunning || t.done {
+			continue
+		}
+		if run != 0 && run != p.run {
+			return fmt.Errorf("%w: gang of %s has runs %d and %d", ErrBroken, t.name(), run, p.run)
+		}
+		run = p.run
+	}
+	if left != s.left {
+		return fmt.Errorf("%w: step %d of %s has %d tasks left and counts %d", ErrBroken, s.number, s.job.ID, left, s.left)
+	}
+	return nil
+}
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 )
 
 // Progress is what is recorded of a job, so that the next owner goes on from there.
@@ -16,10 +17,9 @@
 
 // TaskProgress is what is recorded of a task that failed or saved a checkpoint.
 type TaskProgress struct {
-	Failed int `json:"failed,omitempty"`
-	// FailedRun is the last run that counted as failed; its end may be reported again.
-	FailedRun  int64  `json:"failedRun,omitempty"`
-	Checkpoint string `json:"checkpoint,omitempty"`
+	// FailedRuns are the runs that count as failed; their ends may be reported again.
+	FailedRuns []int64 `json:"failedRuns,omitempty"`
+	Checkpoint string  `json:"checkpoint,omitempty"`
 }
 
 // Progress returns what is to be recorded of the job.
@@ -37,13 +37,13 @@
 			p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.number)] = bits
 		}
 		for _, t := range s.tasks {
-			if t.done || (t.failed == 0 && t.checkpoint == "") {
+			if t.done || (len(t.failedRuns) == 0 && t.checkpoint == "") {
 				continue
 			}
 			if p.Tasks == nil {
 				p.Tasks = map[string]TaskProgress{}
 			}
-			p.Tasks[t.key()] = TaskProgress{Failed: t.failed, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
+			p.Tasks[t.key()] = TaskProgress{FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint}
 		}
 	}
 	return p
@@ -86,7 +86,7 @@
 				s.left--
 			}
 			kept := p.Tasks[t.key()]
-			t.failed, t.failedRun, t.checkpoint = kept.Failed, kept.FailedRun, kept.Checkpoint
+			t.failedRuns, t.checkpoint = slices.Clone(kept.FailedRuns), kept.Checkpoint
 		}
 	}
 }
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"slices"
 	"time"
 )
 
@@ -98,7 +99,7 @@
 // adopt takes over a run that an earlier owner started.
 func (a *Arranger) adopt(now time.Time, w *worker, t *task, asked time.Time, r RunReport) {
 	t.lastRun = r.Run
-	p := &place{task: t, worker: w, run: r.Run, state: placeRunning, began: now, confirmed: asked.Add(-time.Nanosecond)}
+	p := &place{task: t, worker: w, run: r.Run, state: placeRunning, began: now, confirmed: asked.Add(-time.Nanosecond), adopted: true}
 	t.place = p
 	w.places[p] = true
 	a.begin(t.stage.job)
@@ -258,11 +259,9 @@
 
 // countFailure counts a failed run once, and fails the job when the task has used up its attempts.
 func (a *Arranger) countFailure(now time.Time, w *worker, t *task, e EndReport) {
-	if t.failedRun >= e.Run {
+	if slices.Contains(t.failedRuns, e.Run) {
 		return
 	}
-	counted := t.stage.step.Gang && t.stage.hasFailed(e.Run)
-	t.failedRun = e.Run
 	if w.health.fail(t.stage.job.ID, now) {
 		a.options.Note("worker left out", "worker", w.ID, "rest", w.health.rest.String())
 	}
@@ -273,36 +272,24 @@
 		t.failedOn = map[string]bool{}
 	}
 	t.failedOn[w.ID] = true
-	if counted {
-		return
-	}
-	t.failed++
-	failed := t.failed
-	if t.stage.step.Gang {
-		failed = t.stage.failures()
-	}
-	if failed >= max(1, t.stage.job.Policy.MaxAttempts) {
+	t.failedRuns = append(t.failedRuns, e.Run)
+	if t.failures() >= max(1, t.stage.job.Policy.MaxAttempts) {
 		a.end(t.stage.job, Failed, "attempts used up")
 	}
 }
 
-// hasFailed reports whether a member's failure in the run was counted.
-func (s *stage) hasFailed(run int64) bool {
-	for _, t := range s.tasks {
-		if t.failedRun == run {
-			return true
-		}
+// failures returns how many runs of the task, or of its gang, have failed.
+func (t *task) failures() int {
+	if !t.stage.step.Gang {
+		return len(t.failedRuns)
 	}
-	return false
-}
-
-// failures returns how many runs of a gang have failed.
-func (s *stage) failures() int {
-	runs := 0
-	for _, t := range s.tasks {
-		runs += t.failed
+	runs := map[int64]bool{}
+	for _, member := range t.stage.tasks {
+		for _, run := range member.failedRuns {
+			runs[run] = true
+		}
 	}
-	return runs
+	return len(runs)
 }
 
 func (a *Arranger) findTask(text string) *task {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -35,7 +35,9 @@
 	saved time.Time
 	// stopOrdered is when the latest stop was ordered.
 	stopOrdered time.Time
-	reason      string
+	// adopted marks a run that an earlier owner started.
+	adopted bool
+	reason  string
 }
 
 type task struct {
@@ -44,9 +46,9 @@
 	done  bool
 	place *place
 	// lastRun is the highest run number used so far.
-	lastRun    int64
-	failed     int
-	failedRun  int64
+	lastRun int64
+	// failedRuns are the runs that count as failed; reports of them may come in any order, and again.
+	failedRuns []int64
 	checkpoint string
 	notBefore  time.Time
 	// failedOn are the workers on which the task failed.
