--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -25,7 +25,9 @@
 	// answerMargin is the part of a client's patience that is kept for the way back.
 	answerMargin = 150 * time.Millisecond
 	// unknownLimit bounds the tries to settle a write whose answer was lost; the client then asks another entry.
-	unknownLimit = 1800 * time.Millisecond
+	unknownLimit = 1300 * time.Millisecond
+	// storeSilence is the time without an answer after which the store counts as out of reach; the configuration is asked for more often.
+	storeSilence = 1400 * time.Millisecond
 	// retryAfterStore is when a client should come back that met a store out of reach; another entry may reach it.
 	retryAfterStore = time.Second
 	// defaultMaxBody bounds a request's body if the configuration does not.
@@ -74,6 +76,10 @@
 		a.refuse(w, r, "", http.StatusUnauthorized, "unknown key", 0)
 		return
 	}
+	if silence := a.Store.SinceAnswer(); silence > storeSilence {
+		a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: no answer from the store for "+silence.Truncate(time.Millisecond).String(), retryAfterStore)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), patience(r)-answerMargin)
 	defer cancel()
 	c := call{w: w, r: r.WithContext(ctx), view: view, queue: queue, organisation: organisation}
--- a/director/director.go
+++ b/director/director.go
@@ -19,11 +19,11 @@
 	// watchGap is the time between two answered looks after which the wait for a silent owner begins anew, since the owner may have been kept from the store as well.
 	watchGap = 1300 * time.Millisecond
 	// leaseSilence is how long a lease must stay unchanged before another takes it.
-	leaseSilence = 2600 * time.Millisecond
+	leaseSilence = 1600 * time.Millisecond
 	// actLimit is how long an owner goes on without a renewal, so that an outage of the store does not stop the service.
 	actLimit = 6 * time.Second
 	// strictLimit is the age of a renewal at which nobody else can hold the lease yet.
-	strictLimit = 2 * time.Second
+	strictLimit = 1300 * time.Millisecond
 )
 
 // Director takes part in the choice of the owner and is the owner while it holds the lease.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,8 +17,8 @@
 	feedWait = 700 * time.Millisecond
 	// retryPause is the time between tries while the store does not answer.
 	retryPause = 150 * time.Millisecond
-	// contactLimit is the time without an answer after which the store counts as out of reach.
-	contactLimit = 2500 * time.Millisecond
+	// probeTimeout bounds one look whether a store that was lost answers again; a slow store answers a reading within a third of a second.
+	probeTimeout = 500 * time.Millisecond
 )
 
 // Follower holds the newest configuration that this process has read; it never goes back to an older one.
@@ -29,7 +29,6 @@
 	OnChange func(*View)
 
 	current atomic.Pointer[View]
-	contact atomic.Int64
 	lost    atomic.Bool
 }
 
@@ -76,19 +75,17 @@
 // Current returns the configuration, or nil before the first was read.
 func (f *Follower) Current() *View { return f.current.Load() }
 
-// InContact reports whether the store has answered lately.
-func (f *Follower) InContact() bool {
-	return time.Since(time.UnixMilli(f.contact.Load())) < contactLimit
-}
-
 // Run follows the configuration until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	version := int64(-1)
 	for ctx.Err() == nil {
 		var err error
-		if version < 0 {
+		switch {
+		case f.lost.Load():
+			err = f.probe(ctx)
+		case version < 0:
 			version, err = f.read(ctx)
-		} else {
+		default:
 			version, err = f.follow(ctx, version)
 		}
 		f.noteContact(err)
@@ -98,6 +95,14 @@
 	}
 }
 
+// probe asks a store that was lost for little, so that its return is noticed soon.
+func (f *Follower) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := f.Store.Get(ctx, platform.OperatorTable, "", platform.ConfigKey)
+	return err
+}
+
 // read takes the configuration as it is now and returns the version to follow from.
 func (f *Follower) read(ctx context.Context) (int64, error) {
 	page, err := f.Store.Range(ctx, platform.OperatorTable, "", "", "")
@@ -123,7 +128,6 @@
 
 func (f *Follower) noteContact(err error) {
 	if err == nil {
-		f.contact.Store(time.Now().UnixMilli())
 		if f.lost.Swap(false) {
 			f.Logger.Info("store answers again")
 		}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -30,6 +30,8 @@
 	maxHeaderBytes = 16 << 10
 	// stopReserve is the part of the grace period that is left for requests under way when the listener closes.
 	stopReserve = 1500 * time.Millisecond
+	// contactLimit is the time without an answer of the store after which new connections should go elsewhere.
+	contactLimit = 2500 * time.Millisecond
 	// defaultGrace is the grace period if the settings give none.
 	defaultGrace = 6 * time.Second
 )
@@ -42,6 +44,7 @@
 	Reload <-chan struct{}
 
 	draining atomic.Bool
+	store    *platform.Store
 	config   *follower.Follower
 	accept   *acceptor.Acceptor
 }
@@ -52,6 +55,7 @@
 	defer closeClient()
 	metrics := newMetrics()
 	store := &platform.Store{Client: client, Address: h.Settings.StoreAddress, Timeout: storeTimeout, Observe: metrics.observeStore}
+	h.store = store
 	h.config = &follower.Follower{Store: store, Logger: h.Logger}
 	h.accept = acceptor.New(store, h.config, h.Logger)
 	servers, err := h.listen(ctx, metrics)
@@ -128,7 +132,7 @@
 
 // serveReady answers the platform's question whether new connections should come here.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || h.config.Current() == nil || !h.config.InContact() {
+	if h.draining.Load() || h.config.Current() == nil || h.store.SinceAnswer() > contactLimit {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,8 @@
 	maxQueued = 2048
 	// flushPause lets several lines be written in one call.
 	flushPause = 20 * time.Millisecond
+	// maxWrite keeps whole lines together where the output is a pipe; POSIX keeps writes of this size whole.
+	maxWrite = 4096
 )
 
 // dropped counts the lines that found the queue full.
@@ -83,9 +86,14 @@
 		data = fmt.Appendf(data, `{"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", now)
 		told = now
 	}
-	if len(data) > 0 {
+	for len(data) > 0 {
+		end := len(data)
+		if end > maxWrite {
+			end = 1 + max(bytes.LastIndexByte(data[:maxWrite], '\n'), bytes.IndexByte(data, '\n'))
+		}
 		// There is nowhere to report that the log itself cannot be written.
-		_, _ = q.out.Write(data)
+		_, _ = q.out.Write(data[:end])
+		data = data[end:]
 	}
 	return told
 }
