--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -30,7 +30,8 @@
 	unheard  map[string]time.Time
 	claims   [][]*place
 	sequence int
-	ended    []string
+	// usual is how long runs of a kind take on sound workers.
+	usual map[paceKey]time.Duration
 }
 
 // New returns an arranger without jobs and workers.
@@ -48,6 +49,7 @@
 		guaranteed: map[string]int{},
 		dirty:      map[string]bool{},
 		unheard:    map[string]time.Time{},
+		usual:      map[paceKey]time.Duration{},
 	}
 }
 
@@ -153,7 +155,6 @@
 	}
 	j.state = state
 	a.dirty[j.ID] = true
-	a.ended = append(a.ended, j.ID)
 	a.options.Note("job ended", "job", j.ID, "queue", j.Queue, "state", state, "reason", reason)
 	for _, s := range j.stages {
 		for _, t := range s.tasks {
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -22,6 +22,10 @@
 	byWorker map[*worker]*slot
 	ranks    map[*job]rank
 	racks    []string
+	// accelerators is the sum over the fleet, free what is neither occupied nor claimed of them.
+	accelerators, free int
+	// fewSlow tells that the slow workers are few enough to do without.
+	fewSlow bool
 	// refused remembers needs that found no room in this pass.
 	refused map[refusedKey]bool
 }
@@ -40,11 +44,17 @@
 		arranger: a, now: now, ranks: a.ranks(),
 		byWorker: make(map[*worker]*slot, len(a.order)), refused: map[refusedKey]bool{},
 	}
+	slow := 0
 	for _, w := range a.order {
 		if !w.takes(now) {
 			continue
 		}
+		if w.health.factor(now) > 1 {
+			slow++
+		}
 		sl := &slot{worker: w, free: w.free(), prospect: w.prospect()}
+		s.accelerators += w.Capacity.Accelerators
+		s.free += max(0, sl.free.Accelerators)
 		for p := range w.places {
 			sl.places = append(sl.places, p)
 		}
@@ -55,9 +65,13 @@
 			s.racks = append(s.racks, w.Rack)
 		}
 	}
+	s.fewSlow = slow*slowShare <= len(s.slots)
 	return s
 }
 
+// slowShare is the divisor that bounds the part of the fleet that can be avoided as slow.
+const slowShare = 3
+
 // packing is a way to place a number of tasks, with what it costs others.
 type packing struct {
 	slots   []*slot
@@ -96,9 +110,14 @@
 
 // placeTogether places all the tasks or none.
 func (s *survey) placeTogether(u unit, tasks []*task) bool {
+	if s.keepsFree(u, tasks) {
+		return false
+	}
 	p := s.best(u, tasks, false)
-	if p == nil && s.mayDisplace(u) {
-		p = s.best(u, tasks, true)
+	if s.mayDisplace(u) && (p == nil || p.lost > 0) {
+		if other := s.best(u, tasks, true); p == nil || (other != nil && other.lost < p.lost) {
+			p = other
+		}
 	}
 	if p == nil {
 		return false
@@ -107,6 +126,15 @@
 	return true
 }
 
+// keepsFree reports whether the tasks would take accelerators that are kept free for urgent work, which then need not wait until others have stopped.
+func (s *survey) keepsFree(u unit, tasks []*task) bool {
+	need := len(tasks) * u.stage.step.Need.Accelerators
+	return u.rank > rankUrgent && need > 0 && float64(s.free-need) < reserveShare*float64(s.accelerators)
+}
+
+// reserveShare is the part of the accelerators that is kept free for urgent work.
+const reserveShare = 0.4
+
 // mayDisplace reports whether the unit may stop the work of others.
 func (s *survey) mayDisplace(u unit) bool { return u.rank <= rankUrgent }
 
@@ -206,8 +234,12 @@
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.survey.slots) {
 		return choice{}, false
 	}
+	extra, ok := t.delay(task, w)
+	if !ok {
+		return choice{}, false
+	}
 	room := t.roomOf(sl)
-	c := choice{slot: sl, distance: distance(task, w, room)}
+	c := choice{slot: sl, lost: extra, distance: distance(task, room)}
 	if room.Covers(step.Need) {
 		return c, true
 	}
@@ -238,21 +270,29 @@
 	return count
 }
 
-const (
-	// remotePenalty outweighs any difference in room.
-	remotePenalty = 1000
-	// coreWeight makes accelerators decide over cores when room is compared.
-	coreWeight = 0.01
-)
+// delay returns the core-seconds that the task would take longer on the worker than on the best one, or false for a member that would hold up its whole gang.
+func (t *trial) delay(task *task, w *worker) (float64, bool) {
+	step := task.stage.step
+	factor := 1.0
+	if t.survey.fewSlow {
+		factor = w.health.factor(t.survey.now)
+	}
+	if factor > 1 && step.Gang && len(task.stage.tasks) > 1 {
+		return 0, false
+	}
+	if step.DataRack != "" && step.DataRack != w.Rack {
+		factor *= t.survey.arranger.options.RemoteFactor
+	}
+	return (factor - 1) * t.survey.arranger.expected(task.stage).Seconds() * step.Need.cores(), true
+}
 
-// distance returns how badly a worker suits a task: away from its data, or with much more room than it needs.
-func distance(task *task, w *worker, room Resources) float64 {
-	d := float64(room.Accelerators-task.stage.step.Need.Accelerators) +
+// coreWeight makes accelerators decide over cores when room is compared.
+const coreWeight = 0.01
+
+// distance returns how much more room a worker has than a task needs.
+func distance(task *task, room Resources) float64 {
+	return float64(room.Accelerators-task.stage.step.Need.Accelerators) +
 		coreWeight*float64(room.CPU-task.stage.step.Need.CPU)/1000
-	if rack := task.stage.step.DataRack; rack != "" && rack != w.Rack {
-		d += remotePenalty
-	}
-	return d
 }
 
 // displace chooses the work whose stop makes room at the least loss.
@@ -400,6 +440,7 @@
 		sl.places = append(sl.places, pl)
 		sl.free = sl.free.Minus(t.stage.step.Need)
 		sl.prospect = sl.prospect.Minus(t.stage.step.Need)
+		s.free -= t.stage.step.Need.Accelerators
 		group = append(group, pl)
 	}
 	if len(p.victims) == 0 && a.clear(s.now, group) {
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -12,10 +12,8 @@
 const (
 	// rankGuaranteed is urgent work within its organisation's guarantee.
 	rankGuaranteed rank = iota
-	// rankUrgent is urgent work beyond the guarantee.
+	// rankUrgent is urgent work beyond the guarantee; work of later priorities follows.
 	rankUrgent
-	// rankFirstLater is work of priority 1; later priorities follow.
-	rankFirstLater
 )
 
 const (
@@ -54,6 +52,7 @@
 			a.readyStages(j, now)
 		}
 	}
+	a.leaveStalled(now)
 	a.repeatStops(now)
 	a.startClaims(now)
 	s := a.newSurvey(now)
@@ -268,6 +267,7 @@
 		p.run = run
 		p.task.lastRun = run
 		p.state = placeStarting
+		p.resumed = p.task.checkpoint != ""
 		p.began = now
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
 			Task: p.task.name(), Run: run, Worker: p.worker.ID,
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -53,7 +53,7 @@
 		listed[run.Task] = run.Run
 		a.takeRunning(now, w, r.Asked, run)
 	}
-	a.dropAbsent(now, w, r.Asked, listed)
+	a.dropAbsent(w, r.Asked, listed)
 }
 
 // takeRunning matches a run on a worker with the place that it belongs to.
@@ -136,6 +136,8 @@
 		a.saveCheckpoint(p.task, r.Checkpoint)
 		p.saved = now
 	}
+	p.reported = now
+	//a.observePace(now, p, r.Percent)
 	if r.Percent > p.percent || p.advanced.IsZero() {
 		p.advanced = now
 		if p.worked.IsZero() && r.Percent > 0 {
@@ -170,7 +172,7 @@
 }
 
 // dropAbsent vacates the places that the worker would have listed if they still ran.
-func (a *Arranger) dropAbsent(now time.Time, w *worker, asked time.Time, listed map[string]int64) {
+func (a *Arranger) dropAbsent(w *worker, asked time.Time, listed map[string]int64) {
 	for p := range w.places {
 		if p.state == placeClaimed || p.confirmed.IsZero() || !p.confirmed.Before(asked) {
 			continue
@@ -202,6 +204,9 @@
 	switch e.How {
 	case EndedDone:
 		w.health.succeed()
+		if mine {
+			a.learnDuration(now, p)
+		}
 		a.complete(now, t, p, mine)
 	case EndedFailed:
 		a.countFailure(now, w, t, e)
@@ -308,19 +313,6 @@
 	return s.tasks[name.Index]
 }
 
-// Refusal says why a worker surely did not start a task.
-type Refusal int
-
-// The reasons for which a worker does not start a task.
-const (
-	// RefusedBusy means that the worker turned the order away for now.
-	RefusedBusy Refusal = iota
-	// RefusedNoRoom means that the task does not fit.
-	RefusedNoRoom
-	// RefusedOld means that the run number was used up.
-	RefusedOld
-)
-
 // refusalPause keeps new work from a worker that has turned an order away.
 const refusalPause = 300 * time.Millisecond
 
@@ -338,7 +330,7 @@
 }
 
 // StartRefused tells that the run surely did not start and never will.
-func (a *Arranger) StartRefused(now time.Time, name TaskName, run int64, why Refusal) {
+func (a *Arranger) StartRefused(now time.Time, name TaskName, run int64) {
 	p := a.findPlace(name, run)
 	if p == nil || p.state == placeRunning {
 		return
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -31,6 +31,12 @@
 	// advanced is when the percentage last rose, worked when it was first above zero.
 	advanced time.Time
 	worked   time.Time
+	// reported is when the run was last listed; sampled and sampledPercent are its last observed pace.
+	reported       time.Time
+	sampled        time.Time
+	sampledPercent int
+	// resumed marks a run that began from a checkpoint.
+	resumed bool
 	// saved is when the latest checkpoint was seen.
 	saved time.Time
 	// stopOrdered is when the latest stop was ordered.
--- a/director/orders.go
+++ b/director/orders.go
@@ -26,7 +26,7 @@
 	for _, o := range orders.Starts {
 		s := t.sessions[o.Worker]
 		if s == nil || !s.heard {
-			t.arranger.StartRefused(time.Now(), o.Task, o.Run, arranger.RefusedBusy)
+			t.arranger.StartRefused(time.Now(), o.Task, o.Run)
 			continue
 		}
 		start := platform.StartOrder{
@@ -90,12 +90,8 @@
 		t.closeSession(s, "another worker at its address")
 	case errors.Is(err, platform.ErrUnknown):
 		t.arranger.StartUnsure(o.Task, o.Run)
-	case errors.Is(err, platform.ErrNoRoom):
-		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedNoRoom)
-	case errors.Is(err, platform.ErrOldRun):
-		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedOld)
 	default:
-		t.arranger.StartRefused(now, o.Task, o.Run, arranger.RefusedBusy)
+		t.arranger.StartRefused(now, o.Task, o.Run)
 	}
 }
 
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -30,9 +30,10 @@
 }
 
 func (m *metricSet) histogram(name string) metrics.Histogram {
-	return m.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-	}).(metrics.Histogram) //nolint:forcetypeassert // Each name is registered with one type.
+	if h, ok := m.registry.Get(name).(metrics.Histogram); ok {
+		return h
+	}
+	return metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
 func (m *metricSet) count(name string) {
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -21,9 +21,11 @@
 	FleetTable = "fleet"
 	// OwnerPart is the part of all rows that only the owner writes.
 	OwnerPart = "owner"
-	// LeaseKey, WorkersKey and PendingKey name single rows.
-	LeaseKey   = "lease"
+	// LeaseKey names the row of the lease.
+	LeaseKey = "lease"
+	// WorkersKey names the row with the workers that an owner has given orders to.
 	WorkersKey = "workers"
+	// PendingKey names the row with the numbers of waiting jobs.
 	PendingKey = "pending"
 )
 
