Keep room free for urgent work while over half of the fleet is in use

Ruled out: takeovers and the store (no change of owner in that window); the pace of slow workers (trial, nothing beyond noise, taken out). Change: other work leaves 30% of the accelerators free, used by urgent work without a stop; not while half of the fleet or more is free.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -30,8 +30,6 @@
 	unheard  map[string]time.Time
 	claims   [][]*place
 	sequence int
-	// usual is how long runs of a kind take on sound workers.
-	usual map[paceKey]time.Duration
 }
 
 // New returns an arranger without jobs and workers.
@@ -49,7 +47,6 @@
 		guaranteed: map[string]int{},
 		dirty:      map[string]bool{},
 		unheard:    map[string]time.Time{},
-		usual:      map[paceKey]time.Duration{},
 	}
 }
 
--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -245,3 +245,49 @@
 		t.Fatalf("state %q, want cancelled", got)
 	}
 }
+
+// A burst of urgent lookups into a fleet that batches would fill: the lookups start at once, without a stop.
+func TestABurstOfUrgentWorkFindsRoomInAFullFleet(t *testing.T) {
+	b := newBench(t, 2, 8)
+	b.SetGuarantees(map[string]int{"unions": 64})
+	for i := range 4 {
+		batch := jobOf(fmt.Sprintf("batch-%d", i), 2, single(40, 1))
+		b.AddJob(b.now, batch, Progress{}, false)
+	}
+	b.confirm(b.pass(0))
+	for i := range 8 {
+		b.AddJob(b.now, jobOf(fmt.Sprintf("lookup-%d", i), 0, gang(4, 1)), Progress{}, false)
+	}
+	o := b.pass(10 * time.Millisecond)
+	if len(o.Starts) != 32 || len(o.Stops) != 0 {
+		t.Fatalf("got %d starts and %d stops, want all lookups started without a stop", len(o.Starts), len(o.Stops))
+	}
+}
+
+// Work that needs most of an idle fleet is not kept waiting for urgent work that may never come.
+func TestTheReserveDoesNotHoldBackWorkWhileTheFleetIsIdle(t *testing.T) {
+	b := newBench(t, 1, 8)
+	b.AddJob(b.now, jobOf("large", 1, gang(8, 8)), Progress{}, false)
+	if o := b.pass(0); len(o.Starts) != 8 {
+		t.Fatalf("got %d starts, want the whole gang", len(o.Starts))
+	}
+}
+
+func TestARunThatStandsStillIsStartedElsewhere(t *testing.T) {
+	b := newBench(t, 1, 2)
+	b.AddJob(b.now, jobOf("job", 2, single(1, 1)), Progress{}, false)
+	o := b.pass(0)
+	b.confirm(o)
+	s := o.Starts[0]
+	for range 4 {
+		b.now = b.now.Add(time.Second)
+		b.TakeReport(b.now, Report{Worker: s.Worker, Asked: b.now, Running: []RunReport{{Task: s.Task.String(), Run: s.Run, Percent: 10}}})
+	}
+	if o = b.pass(0); len(o.Stops) != 1 {
+		t.Fatalf("got %d stops, want the run left", len(o.Stops))
+	}
+	b.end(s.Worker, s.Task, s.Run, EndedOtherwise)
+	if o = b.pass(0); len(o.Starts) != 1 || o.Starts[0].Worker == s.Worker {
+		t.Fatalf("got %+v, want a start on the other worker", o.Starts)
+	}
+}
--- a/arranger/health.go
+++ b/arranger/health.go
@@ -1,9 +1,6 @@
 package arranger
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// suspectFailures is the number of different jobs that must fail on a worker in a row before it is left out.
@@ -11,12 +8,6 @@
 	// firstRest and maxRest bound the time for which a worker that fails everything is left out.
 	firstRest = 4 * time.Second
 	maxRest   = 60 * time.Second
-	// slowFactor is how many times longer than usual runs must take on a worker before it counts as slow; runs of one kind differ by less.
-	slowFactor = 2.5
-	// slowMemory is how long a worker counts as slow without a new observation.
-	slowMemory = 4 * time.Second
-	// sampleWeight is the weight of a new observation of a worker's pace.
-	sampleWeight = 0.2
 	// stallLimit is how long a run may stand still before it is started elsewhere; workers report about once a second.
 	stallLimit = 2500 * time.Millisecond
 	// stallLoss is the most work that is thrown away to leave a worker on which a run stands still, since it may go on there.
@@ -28,29 +19,6 @@
 	failedJobs map[string]bool
 	restUntil  time.Time
 	rest       time.Duration
-	// slowness is the logarithm of how many times longer than usual runs take here, as last observed.
-	slowness float64
-	observed time.Time
-}
-
-// observe takes in how many times longer than usual a run seems to take.
-func (h *health) observe(ratio, weight float64, now time.Time) {
-	if now.Sub(h.observed) > slowMemory {
-		h.slowness = 0
-	}
-	h.slowness += weight * (math.Log(ratio) - h.slowness)
-	h.observed = now
-}
-
-// factor returns how many times longer than usual work is expected to take here; 1 unless the worker counts as slow.
-func (h *health) factor(now time.Time) float64 {
-	if now.Sub(h.observed) > slowMemory {
-		return 1
-	}
-	if f := math.Exp(h.slowness); f >= slowFactor {
-		return f
-	}
-	return 1
 }
 
 func (h *health) usable(now time.Time) bool { return !now.Before(h.restUntil) }
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -24,8 +24,6 @@
 	racks    []string
 	// accelerators is the sum over the fleet, free what is neither occupied nor claimed of them.
 	accelerators, free int
-	// fewSlow tells that the slow workers are few enough to do without.
-	fewSlow bool
 	// refused remembers needs that found no room in this pass.
 	refused map[refusedKey]bool
 }
@@ -44,14 +42,10 @@
 		arranger: a, now: now, ranks: a.ranks(),
 		byWorker: make(map[*worker]*slot, len(a.order)), refused: map[refusedKey]bool{},
 	}
-	slow := 0
 	for _, w := range a.order {
 		if !w.takes(now) {
 			continue
 		}
-		if w.health.factor(now) > 1 {
-			slow++
-		}
 		sl := &slot{worker: w, free: w.free(), prospect: w.prospect()}
 		s.accelerators += w.Capacity.Accelerators
 		s.free += max(0, sl.free.Accelerators)
@@ -65,13 +59,9 @@
 			s.racks = append(s.racks, w.Rack)
 		}
 	}
-	s.fewSlow = slow*slowShare <= len(s.slots)
 	return s
 }
 
-// slowShare is the divisor that bounds the part of the fleet that can be avoided as slow.
-const slowShare = 3
-
 // packing is a way to place a number of tasks, with what it costs others.
 type packing struct {
 	slots   []*slot
@@ -129,11 +119,14 @@
 // keepsFree reports whether the tasks would take accelerators that are kept free for urgent work, which then need not wait until others have stopped.
 func (s *survey) keepsFree(u unit, tasks []*task) bool {
 	need := len(tasks) * u.stage.step.Need.Accelerators
-	return u.rank > rankUrgent && need > 0 && float64(s.free-need) < reserveShare*float64(s.accelerators)
+	if u.rank <= rankUrgent || need == 0 || 2*s.free >= s.accelerators {
+		return false
+	}
+	return float64(s.free-need) < reserveShare*float64(s.accelerators)
 }
 
-// reserveShare is the part of the accelerators that is kept free for urgent work.
-const reserveShare = 0.4
+// reserveShare is the part of the accelerators that is kept free for urgent work while more than half of the fleet is in use.
+const reserveShare = 0.3
 
 // mayDisplace reports whether the unit may stop the work of others.
 func (s *survey) mayDisplace(u unit) bool { return u.rank <= rankUrgent }
@@ -234,12 +227,8 @@
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.survey.slots) {
 		return choice{}, false
 	}
-	extra, ok := t.delay(task, w)
-	if !ok {
-		return choice{}, false
-	}
 	room := t.roomOf(sl)
-	c := choice{slot: sl, lost: extra, distance: distance(task, room)}
+	c := choice{slot: sl, lost: t.delay(task, w), distance: distance(task, room)}
 	if room.Covers(step.Need) {
 		return c, true
 	}
@@ -270,20 +259,13 @@
 	return count
 }
 
-// delay returns the core-seconds that the task would take longer on the worker than on the best one, or false for a member that would hold up its whole gang.
-func (t *trial) delay(task *task, w *worker) (float64, bool) {
+// delay returns the core-seconds that the task would take longer on the worker, away from its data.
+func (t *trial) delay(task *task, w *worker) float64 {
 	step := task.stage.step
-	factor := 1.0
-	if t.survey.fewSlow {
-		factor = w.health.factor(t.survey.now)
-	}
-	if factor > 1 && step.Gang && len(task.stage.tasks) > 1 {
-		return 0, false
-	}
-	if step.DataRack != "" && step.DataRack != w.Rack {
-		factor *= t.survey.arranger.options.RemoteFactor
+	if step.DataRack == "" || step.DataRack == w.Rack {
+		return 0
 	}
-	return (factor - 1) * t.survey.arranger.expected(task.stage).Seconds() * step.Need.cores(), true
+	return (t.survey.arranger.options.RemoteFactor - 1) * step.Estimate.Seconds() * step.Need.cores()
 }
 
 // coreWeight makes accelerators decide over cores when room is compared.
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -267,7 +267,6 @@
 		p.run = run
 		p.task.lastRun = run
 		p.state = placeStarting
-		p.resumed = p.task.checkpoint != ""
 		p.began = now
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
 			Task: p.task.name(), Run: run, Worker: p.worker.ID,
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -137,7 +137,6 @@
 		p.saved = now
 	}
 	p.reported = now
-	//a.observePace(now, p, r.Percent)
 	if r.Percent > p.percent || p.advanced.IsZero() {
 		p.advanced = now
 		if p.worked.IsZero() && r.Percent > 0 {
@@ -204,9 +203,6 @@
 	switch e.How {
 	case EndedDone:
 		w.health.succeed()
-		if mine {
-			a.learnDuration(now, p)
-		}
 		a.complete(now, t, p, mine)
 	case EndedFailed:
 		a.countFailure(now, w, t, e)
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -31,12 +31,8 @@
 	// advanced is when the percentage last rose, worked when it was first above zero.
 	advanced time.Time
 	worked   time.Time
-	// reported is when the run was last listed; sampled and sampledPercent are its last observed pace.
-	reported       time.Time
-	sampled        time.Time
-	sampledPercent int
-	// resumed marks a run that began from a checkpoint.
-	resumed bool
+	// reported is when the run was last listed.
+	reported time.Time
 	// saved is when the latest checkpoint was seen.
 	saved time.Time
 	// stopOrdered is when the latest stop was ordered.
