Do not spend a task's attempts on workers that fail

Change: a worker where something failed lately is suspect: a task that has failed before is not started there, others go there last among equals; a job that has failed on three workers is blamed itself.

--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -291,3 +291,38 @@
 		t.Fatalf("got %+v, want a start on the other worker", o.Starts)
 	}
 }
+
+// A worker fails all that it starts; a task with few attempts must not spend them there.
+func TestATaskThatFailedIsNotRetriedWhereAnotherFailed(t *testing.T) {
+	b := newBench(t, 1, 3)
+	b.AddJob(b.now, jobOf("first", 2, single(1, 1)), Progress{}, false)
+	first := b.pass(0).Starts[0]
+	b.end(first.Worker, first.Task, first.Run, EndedFailed)
+	second := b.pass(0).Starts[0]
+	if second.Worker == first.Worker {
+		t.Fatalf("retried on %s, where it had failed", second.Worker)
+	}
+	b.AddJob(b.now, jobOf("other", 2, single(1, 1)), Progress{State: Running, Tasks: map[string]TaskProgress{"0.0.0": {FailedRuns: []int64{1}}}}, false)
+	for _, s := range b.pass(0).Starts {
+		if s.Worker == first.Worker {
+			t.Fatalf("a task that had failed was started on the suspect worker %s", s.Worker)
+		}
+	}
+}
+
+func TestAJobThatFailsEverywhereDoesNotTakeWorkersOutOfUse(t *testing.T) {
+	b := newBench(t, 1, 4)
+	for _, id := range []string{"poison", "bane"} {
+		j := jobOf(id, 2, single(1, 1))
+		j.Policy.MaxAttempts = 9
+		b.AddJob(b.now, j, Progress{}, true)
+		for i := range 3 {
+			b.end(fmt.Sprintf("w0-%d", i), TaskName{Job: id}, int64(i+1), EndedFailed)
+		}
+	}
+	for _, w := range b.order {
+		if !w.health.usable(b.now) || w.health.suspect(b.now) {
+			t.Fatalf("worker %s is blamed for jobs that failed on all workers", w.ID)
+		}
+	}
+}
--- a/arranger/health.go
+++ b/arranger/health.go
@@ -8,6 +8,10 @@
 	// firstRest and maxRest bound the time for which a worker that fails everything is left out.
 	firstRest = 4 * time.Second
 	maxRest   = 60 * time.Second
+	// suspectMemory is how long a failure makes a worker suspect without another one.
+	suspectMemory = 6 * time.Second
+	// jobFaultWorkers is the number of workers on which a job must fail before the job and not the workers is blamed.
+	jobFaultWorkers = 3
 	// stallLimit is how long a run may stand still before it is started elsewhere; workers report about once a second.
 	stallLimit = 2500 * time.Millisecond
 	// stallLoss is the most work that is thrown away to leave a worker on which a run stands still, since it may go on there.
@@ -17,6 +21,7 @@
 // health is what the runs on a worker tell about it.
 type health struct {
 	failedJobs map[string]bool
+	failedAt   time.Time
 	restUntil  time.Time
 	rest       time.Duration
 }
@@ -35,6 +40,7 @@
 		h.failedJobs = map[string]bool{}
 	}
 	h.failedJobs[job] = true
+	h.failedAt = now
 	if len(h.failedJobs) < suspectFailures {
 		return false
 	}
@@ -42,6 +48,22 @@
 	return true
 }
 
+// suspect reports whether something failed here lately and nothing has succeeded since.
+func (h *health) suspect(now time.Time) bool {
+	return len(h.failedJobs) > 0 && now.Sub(h.failedAt) < suspectMemory
+}
+
+// absolve takes back the blame for a job that fails everywhere.
+func (h *health) absolve(job string) {
+	if !h.failedJobs[job] {
+		return
+	}
+	delete(h.failedJobs, job)
+	if len(h.failedJobs) < suspectFailures {
+		h.restUntil = time.Time{}
+	}
+}
+
 // leaveOut gives the worker no new work for a time that doubles with each repetition.
 func (h *health) leaveOut(now time.Time) {
 	h.rest = min(max(firstRest, 2*h.rest), maxRest)
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -227,8 +227,15 @@
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.survey.slots) {
 		return choice{}, false
 	}
+	suspect := w.health.suspect(t.survey.now)
+	if suspect && task.failures() > 0 {
+		return choice{}, false
+	}
 	room := t.roomOf(sl)
 	c := choice{slot: sl, lost: t.delay(task, w), distance: distance(task, room)}
+	if suspect {
+		c.distance += suspectDistance
+	}
 	if room.Covers(step.Need) {
 		return c, true
 	}
@@ -268,6 +275,9 @@
 	return (t.survey.arranger.options.RemoteFactor - 1) * step.Estimate.Seconds() * step.Need.cores()
 }
 
+// suspectDistance is the room, in accelerators, that a worker without failures is worth more than a suspect one.
+const suspectDistance = 2
+
 // coreWeight makes accelerators decide over cores when room is compared.
 const coreWeight = 0.01
 
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -263,9 +263,7 @@
 	if slices.Contains(t.failedRuns, e.Run) {
 		return
 	}
-	if w.health.fail(t.stage.job.ID, now) {
-		a.options.Note("worker left out", "worker", w.ID, "rest", w.health.rest.String())
-	}
+	a.blame(now, w, t.stage.job)
 	if t.stage.step.Lasting {
 		return
 	}
@@ -279,6 +277,23 @@
 	}
 }
 
+// blame holds a failure against the worker, or against the job once that has failed on several workers.
+func (a *Arranger) blame(now time.Time, w *worker, j *job) {
+	if j.failedOn == nil {
+		j.failedOn = map[string]bool{}
+	}
+	j.failedOn[w.ID] = true
+	if len(j.failedOn) >= jobFaultWorkers {
+		for _, other := range a.order {
+			other.health.absolve(j.ID)
+		}
+		return
+	}
+	if w.health.fail(j.ID, now) {
+		a.options.Note("worker left out", "worker", w.ID, "rest", w.health.rest.String(), "jobs", len(w.health.failedJobs))
+	}
+}
+
 // failures returns how many runs of the task, or of its gang, have failed.
 func (t *task) failures() int {
 	if !t.stage.step.Gang {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -88,6 +88,8 @@
 	// early marks a job that an earlier owner may have started tasks of.
 	early    bool
 	sequence int
+	// failedOn are the workers on which a task of the job has failed.
+	failedOn map[string]bool
 }
 
 func (j *job) urgent() bool { return j.Policy.Priority == 0 }
