--- a/director/clock.go
+++ b/director/clock.go
@@ -6,6 +6,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// now returns the steady time, from the seam if there is one.
+func (d *Director) now() time.Duration {
+	if d.Clock != nil {
+		return d.Clock()
+	}
+	return sinceBoot()
+}
+
 // sinceBoot returns a steady time that also counts while the VM is suspended, unlike Go's own.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
--- a/director/director.go
+++ b/director/director.go
@@ -35,6 +35,8 @@
 	Config      *follower.Follower
 	Bounds      platform.Bounds
 	Logger      *slog.Logger
+	// Clock is a steady time that also counts while the VM is suspended; nil means the kernel's time since boot.
+	Clock func() time.Duration
 }
 
 // Run takes part until the context ends, then releases the lease if it holds it.
@@ -42,7 +44,7 @@
 	w := leaseWatch{}
 	for ctx.Err() == nil {
 		row, err := d.Store.Get(ctx, registrar.LeaseTable, registrar.OwnerPart, registrar.LeaseKey)
-		now := sinceBoot()
+		now := d.now()
 		if err != nil {
 			sleeper.Sleep(ctx, watchPause)
 			continue
@@ -81,7 +83,7 @@
 
 // reign takes the lease and is the owner until it loses it; it reports whether it was.
 func (d *Director) reign(ctx context.Context, row platform.Row, old registrar.Lease) bool {
-	taken := sinceBoot()
+	taken := d.now()
 	lease := registrar.Lease{Node: d.Node, Incarnation: d.Incarnation, Epoch: old.Epoch + 1}
 	next := row
 	next.Value = registrar.Encode(lease)
--- /dev/null
+++ b/director/director_test.go
@@ -0,0 +1,273 @@
+package director_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/faker"
+)
+
+const (
+	jobA = "aaaaaaaaaaaaaaaa"
+	jobB = "bbbbbbbbbbbbbbbb"
+)
+
+func TestAJobRunsToItsEndAndIsShownByEveryEntry(t *testing.T) {
+	run(t, 3, 4, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Gang: 3, Accelerators: 8}, 3)
+		s.await(s.entries[1], jobA, "running", time.Second)
+		s.await(s.entries[2], jobA, "succeeded", 2*time.Second)
+		if got := s.fleet.Starts(jobA); got != 3 {
+			t.Errorf("%d starts, want each task once", got)
+		}
+	})
+}
+
+func TestRepeatedSubmissionsAreOneJob(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		job := faker.TaskJob{Duration: time.Second, Accelerators: 1}
+		s.submit(s.entries[0], jobA, job, 1)
+		s.submit(s.entries[1], jobA, job, 1)
+		if status, _ := s.call(s.entries[1], "key", http.MethodPost, "/l/"+jobA, jobBody(job, 2)); status != http.StatusConflict {
+			t.Errorf("another job under the same ID: %d", status)
+		}
+		s.await(s.entries[0], jobA, "succeeded", 3*time.Second)
+		if got := s.fleet.Starts(jobA); got != 1 {
+			t.Errorf("%d starts, want one", got)
+		}
+	})
+}
+
+func TestASubmissionWhoseReplyIsLostIsSettled(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		job := faker.TaskJob{Duration: time.Second, Accelerators: 1}
+		s.fleet.SetJob(jobA, job)
+		s.store.SetFaults(faker.RowFaults{LoseReplies: 1})
+		status, _ := s.call(s.entries[0], "key", http.MethodPost, "/l/"+jobA, jobBody(job, 1))
+		if status != http.StatusOK && status != http.StatusGatewayTimeout {
+			t.Fatalf("got %d, want accepted or unknown, never a refusal", status)
+		}
+		s.submit(s.entries[1], jobA, job, 1)
+		s.await(s.entries[0], jobA, "succeeded", 4*time.Second)
+	})
+}
+
+func TestAStoreOutOfReachIsToldAtOnce(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		s.store.SetFaults(faker.RowFaults{Silent: true})
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		status, _ := s.call(s.entries[0], "key", http.MethodPost, "/l/"+jobA, jobBody(faker.TaskJob{Accelerators: 1}, 1))
+		if status != http.StatusServiceUnavailable || time.Since(began) > 10*time.Millisecond {
+			t.Errorf("got %d after %s, want a refusal at once", status, time.Since(began))
+		}
+		s.store.SetFaults(faker.RowFaults{})
+		time.Sleep(time.Second)
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+	})
+}
+
+func TestKeysQueuesAndBodiesAreChecked(t *testing.T) {
+	run(t, 1, 1, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		for _, test := range []struct {
+			name, key, method, path, body string
+			want                          int
+		}{
+			{"unknown key", "nobody", http.MethodPost, "/l/" + jobB, "{}", http.StatusUnauthorized},
+			{"unknown queue", "key", http.MethodPost, "/none/" + jobB, "{}", http.StatusNotFound},
+			{"no JSON", "key", http.MethodPost, "/l/" + jobB, "{", http.StatusBadRequest},
+			{"no steps", "key", http.MethodPost, "/l/" + jobB, "{}", http.StatusBadRequest},
+			{"large body", "key", http.MethodPost, "/l/" + jobB, strings.Repeat(" ", 5000), http.StatusRequestEntityTooLarge},
+			{"another organisation's job", "other", http.MethodGet, "/l/" + jobA, "", http.StatusGone},
+			{"another organisation cancels", "other", http.MethodDelete, "/l/" + jobA, "", http.StatusGone},
+			{"unknown job", "key", http.MethodGet, "/l/" + jobB, "", http.StatusGone},
+			{"waiting jobs", "key", http.MethodGet, "/l/", "", http.StatusOK},
+		} {
+			if got, body := s.call(s.entries[0], test.key, test.method, test.path, test.body); got != test.want {
+				t.Errorf("%s: got %d %s, want %d", test.name, got, body, test.want)
+			}
+		}
+	})
+}
+
+func TestRunningWorkIsTakenOverWhenTheOwnerIsCutOff(t *testing.T) {
+	run(t, 3, 4, func(s *service) {
+		first := s.owner()
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 8 * time.Second, Gang: 2, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		s.board.Cut(first.name, true)
+		time.Sleep(4 * time.Second)
+		if s.owner() == first {
+			t.Fatal("nobody took the lease over")
+		}
+		var other *entry
+		for _, e := range s.entries {
+			if e != first {
+				other = e
+			}
+		}
+		s.await(other, jobA, "succeeded", 6*time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want the gang's two", got)
+		}
+		s.board.Cut(first.name, false)
+		time.Sleep(3 * time.Second)
+	})
+}
+
+func TestAnOwnerThatEndsInGoodOrderIsFollowedAtOnce(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		first := s.owner()
+		first.stop()
+		<-first.done
+		time.Sleep(time.Second)
+		if s.owner() == first {
+			t.Fatal("the released lease was not taken within a second")
+		}
+	})
+}
+
+func TestAStartWhoseReplyIsLostRunsOnce(t *testing.T) {
+	run(t, 1, 2, func(s *service) {
+		for _, w := range s.workers {
+			w.LoseStarts(1)
+		}
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 2 * time.Second, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobA, "succeeded", 6*time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want each task once", got)
+		}
+	})
+}
+
+func TestWorkOnASilentWorkerStartsElsewhereOnceItsLeaseHasLapsed(t *testing.T) {
+	run(t, 1, 2, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 5 * time.Second, Accelerators: 8}, 1)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		for _, w := range s.workers {
+			w.SetSilent(true)
+		}
+		time.Sleep(12 * time.Second)
+		for _, w := range s.workers {
+			w.SetSilent(false)
+		}
+		s.await(s.entries[0], jobA, "succeeded", 10*time.Second)
+	})
+}
+
+func TestAWorkerRebornUnderItsIDLosesWhatItRan(t *testing.T) {
+	run(t, 1, 2, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 4 * time.Second, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		s.workers[0].Restart()
+		s.list(0)
+		s.await(s.entries[0], jobA, "succeeded", 9*time.Second)
+		if got := s.fleet.Starts(jobA); got != 3 {
+			t.Errorf("%d starts, want the lost task twice", got)
+		}
+	})
+}
+
+func TestACancelledJobStops(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Minute, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		if status, _ := s.call(s.entries[1], "key", http.MethodDelete, "/l/"+jobA, ""); status != http.StatusOK {
+			t.Fatalf("cancel: %d", status)
+		}
+		s.await(s.entries[0], jobA, "cancelled", 2*time.Second)
+		s.submit(s.entries[0], jobB, faker.TaskJob{Duration: time.Second, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobB, "succeeded", 4*time.Second)
+	})
+}
+
+func TestAJobThatAlwaysFailsIsShownAsFailed(t *testing.T) {
+	run(t, 1, 4, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 200 * time.Millisecond, Accelerators: 1, FailRuns: 9}, 1)
+		s.await(s.entries[0], jobA, "failed", 20*time.Second)
+		if got := s.fleet.Starts(jobA); got != 3 {
+			t.Errorf("%d starts, want as many as the queue allows", got)
+		}
+	})
+}
+
+func TestAForgottenHistoryIsReadAnew(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		s.store.Compact()
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.store.Compact()
+		s.await(s.entries[1], jobA, "succeeded", 4*time.Second)
+	})
+}
+
+// randomSeeds is the number of random plays; the order of goroutines is not fixed by the seed.
+const randomSeeds = 20
+
+func TestRandomFaultsNeitherLoseNorDoubleWork(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // A test repeats its numbers.
+			run(t, 3, 6, func(s *service) {
+				accepted := s.playRandomly(random)
+				s.heal()
+				for _, id := range accepted {
+					s.await(s.entries[0], id, "succeeded", time.Minute)
+				}
+			})
+		})
+	}
+}
+
+// playRandomly submits jobs through faults and returns the IDs of those accepted.
+func (s *service) playRandomly(random *rand.Rand) []string {
+	var accepted []string
+	const steps = 40
+	for i := range steps {
+		time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+		switch random.IntN(8) {
+		case 0:
+			s.board.Cut(s.entries[random.IntN(len(s.entries))].name, true)
+		case 1:
+			for _, e := range s.entries {
+				s.board.Cut(e.name, false)
+			}
+		case 2:
+			s.store.SetFaults(faker.RowFaults{Silent: random.IntN(2) == 0, Busy: random.IntN(2) == 0, LoseReplies: random.IntN(3)})
+		case 3:
+			s.store.SetFaults(faker.RowFaults{Delay: time.Duration(random.IntN(300)) * time.Millisecond})
+		case 4:
+			s.workers[random.IntN(len(s.workers))].SetSilent(random.IntN(2) == 0)
+		case 5:
+			s.workers[random.IntN(len(s.workers))].LoseStarts(1)
+		default:
+			id := fmt.Sprintf("%016x", i)
+			job := faker.TaskJob{Duration: time.Duration(1+random.IntN(4)) * time.Second, Accelerators: 1 + random.IntN(4)}
+			count := 1 + random.IntN(4)
+			if random.IntN(2) == 0 {
+				job.Gang = count
+			}
+			s.fleet.SetJob(id, job)
+			if status, _ := s.call(s.entries[random.IntN(len(s.entries))], "key", http.MethodPost, "/l/"+id, jobBody(job, count)); status == http.StatusOK {
+				accepted = append(accepted, id)
+			}
+		}
+	}
+	return accepted
+}
+
+// heal ends all faults.
+func (s *service) heal() {
+	s.store.SetFaults(faker.RowFaults{})
+	for _, e := range s.entries {
+		s.board.Cut(e.name, false)
+	}
+	for _, w := range s.workers {
+		w.SetSilent(false)
+	}
+	time.Sleep(3 * time.Second)
+}
--- /dev/null
+++ b/director/fleet_test.go
@@ -0,0 +1,169 @@
+package director_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipelift/snipelift/acceptor"
+	"github.com/snipelift/snipelift/director"
+	"github.com/snipelift/snipelift/faker"
+	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/platform"
+)
+
+const storeAddress = "store:1"
+
+// service is a whole service in one process: the platform's stand-ins and some entries.
+type service struct {
+	t       *testing.T
+	board   *faker.Switchboard
+	store   *faker.RowStore
+	fleet   *faker.TaskFleet
+	workers []*faker.TaskWorker
+	entries []*entry
+}
+
+// entry is the process of one entry VM.
+type entry struct {
+	name   string
+	accept *acceptor.Acceptor
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// run plays a test on a service in virtual time.
+func run(t *testing.T, entries, workers int, play func(s *service)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &service{t: t, board: faker.NewSwitchboard(), store: faker.NewRowStore(), fleet: faker.NewTaskFleet()}
+		s.board.Handle(storeAddress, s.store)
+		s.store.Put("op", "config", map[string]any{
+			"version":  1,
+			"routes":   []any{map[string]any{"name": "lookups", "host": "a.example", "prefix": "/l/", "service": "tabulator", "priority": 0, "maxAttempts": 3, "stretch": 1.5, "sloMs": 250}},
+			"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
+			"limits":   map[string]any{"maxBodyBytes": 4096},
+			"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": 16}}, map[string]any{"name": "others", "apiKeys": []string{"other"}}},
+		})
+		for i := range workers {
+			id := fmt.Sprintf("w%d", i)
+			w := s.fleet.Add(id, 8)
+			s.workers = append(s.workers, w)
+			s.board.Handle(id+":1", w)
+			s.list(i)
+		}
+		for i := range entries {
+			s.startEntry(fmt.Sprintf("entry-%d", i))
+		}
+		defer s.stopAll()
+		time.Sleep(5 * time.Second)
+		play(s)
+		if broken := s.fleet.Broken(); len(broken) > 0 {
+			t.Errorf("broken promises: %v", broken)
+		}
+	})
+}
+
+// list enters a worker in the platform's list.
+func (s *service) list(i int) {
+	w := s.workers[i]
+	s.store.Put("servers", w.ID, w.Describe("tabulator", w.ID+":1", fmt.Sprintf("r1-%d", i/4)))
+}
+
+func (s *service) startEntry(name string) *entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := s.board.Client(name)
+	store := &platform.Store{Client: client, Address: storeAddress, Timeout: 1200 * time.Millisecond}
+	log := slog.New(slog.DiscardHandler)
+	config := &follower.Follower{Store: store, Logger: log}
+	e := &entry{name: name, accept: acceptor.New(store, config, log), stop: cancel, done: make(chan struct{})}
+	began := time.Now()
+	d := &director.Director{
+		Node: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Store: store,
+		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
+		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
+		Bounds: platform.Bounds{LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3},
+	}
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		config.Run(ctx)
+	}()
+	go func() {
+		defer close(e.done)
+		d.Run(ctx)
+		<-followed
+	}()
+	s.entries = append(s.entries, e)
+	return e
+}
+
+func (s *service) stopAll() {
+	for _, e := range s.entries {
+		e.stop()
+	}
+	for _, e := range s.entries {
+		<-e.done
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// owner returns the entry that holds the lease.
+func (s *service) owner() *entry {
+	s.t.Helper()
+	lease := string(s.store.Rows("lease", "owner")["lease"])
+	for _, e := range s.entries {
+		if strings.Contains(lease, `"`+e.name+`"`) {
+			return e
+		}
+	}
+	s.t.Fatalf("nobody holds the lease: %s", lease)
+	return nil
+}
+
+// call sends a client's request to an entry and returns status and body.
+func (s *service) call(e *entry, key, method, path, body string) (int, string) {
+	r := httptest.NewRequest(method, "http://a.example"+path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("X-Timeout-Ms", "3000")
+	w := httptest.NewRecorder()
+	e.accept.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+// submit hands a job in and fails the test unless it is accepted.
+func (s *service) submit(e *entry, id string, job faker.TaskJob, count int) {
+	s.t.Helper()
+	s.fleet.SetJob(id, job)
+	if status, body := s.call(e, "key", http.MethodPost, "/l/"+id, jobBody(job, count)); status != http.StatusOK {
+		s.t.Fatalf("submit %s: %d %s", id, status, body)
+	}
+}
+
+func jobBody(job faker.TaskJob, count int) string {
+	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":1000,"gpu":%d,"estimateMs":%d,"gang":%t}]}`,
+		count, job.Accelerators, job.Duration.Milliseconds(), job.Gang > 0)
+}
+
+func (s *service) state(e *entry, id string) string {
+	_, body := s.call(e, "key", http.MethodGet, "/l/"+id, "")
+	return body
+}
+
+// await waits until an entry shows the state of a job.
+func (s *service) await(e *entry, id, state string, patience time.Duration) {
+	s.t.Helper()
+	var body string
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if body = s.state(e, id); strings.Contains(body, state) {
+			return
+		}
+	}
+	s.t.Fatalf("job %s shows %s, want %s after %s", id, body, state, patience)
+}
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -42,10 +42,10 @@
 
 // awaitStrict waits until it is certain that nobody else holds the lease: a job that came after the next owner's start must not be started here.
 func (t *term) awaitStrict(ctx context.Context) bool {
-	read := sinceBoot()
+	read := t.now()
 	for ctx.Err() == nil {
 		renewed := t.writer.renewedAt()
-		if renewed >= read || sinceBoot()-renewed < strictLimit {
+		if renewed >= read || t.now()-renewed < strictLimit {
 			return true
 		}
 		sleeper.Sleep(ctx, renewalCheck)
--- /dev/null
+++ b/director/leak_test.go
@@ -0,0 +1,9 @@
+package director_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/director/orders.go
+++ b/director/orders.go
@@ -33,7 +33,7 @@
 			Task: o.Task.String(), Run: o.Run, Spec: o.Payload, LeaseUntil: s.nextLease(), Fence: t.lease.Epoch, Checkpoint: o.Checkpoint,
 		}
 		t.Logger.Info("start ordered", "job", o.Task.Job, "task", start.Task, "run", o.Run, "worker", o.Worker,
-			"checkpoint", o.Checkpoint, "reason", o.Reason, "epoch", t.lease.Epoch, "heardAgo", (sinceBoot() - s.at).String())
+			"checkpoint", o.Checkpoint, "reason", o.Reason, "epoch", t.lease.Epoch, "heardAgo", (t.now() - s.at).String())
 		t.spawn(func() { t.start(ctx, s, o, start) })
 	}
 	for _, o := range orders.Stops {
--- a/director/session.go
+++ b/director/session.go
@@ -80,7 +80,7 @@
 }
 
 // clockNow estimates the worker's clock; it may run slower than ours, so that the estimate may be ahead.
-func (s *session) clockNow() time.Duration { return s.clock + sinceBoot() - s.at }
+func (s *session) clockNow() time.Duration { return s.clock + s.term.now() - s.at }
 
 // nextLease returns the end of a lease given now, on the worker's clock.
 func (s *session) nextLease() time.Duration {
@@ -95,7 +95,7 @@
 		return false
 	}
 	left := time.Duration(float64(s.leaseUntil-s.clock)*clockTolerance) + lapseSlack
-	return sinceBoot()-s.at >= left
+	return s.term.now()-s.at >= left
 }
 
 // lead holds the worker's leases and takes in its reports until the session ends.
@@ -160,7 +160,7 @@
 	if s.failures > 0 {
 		t.Logger.Info("worker answers again", "worker", s.worker.ID, "failures", s.failures)
 	}
-	s.clock, s.at, s.heard, s.failures = held.Clock, sinceBoot(), true, 0
+	s.clock, s.at, s.heard, s.failures = held.Clock, t.now(), true, 0
 	report := arranger.Report{Worker: s.worker.ID, Asked: asked}
 	for _, r := range held.Running {
 		report.Running = append(report.Running, arranger.RunReport{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent})
--- a/director/term.go
+++ b/director/term.go
@@ -109,7 +109,7 @@
 }
 
 // mayAct reports whether orders may be given: the lease was renewed not too long ago.
-func (t *term) mayAct() bool { return sinceBoot()-t.writer.renewedAt() < actLimit }
+func (t *term) mayAct() bool { return t.now()-t.writer.renewedAt() < actLimit }
 
 // load reads all jobs and what is recorded of them, and returns the version from which to follow.
 func (t *term) load(ctx context.Context) (int64, bool) {
--- a/director/writer.go
+++ b/director/writer.go
@@ -111,7 +111,7 @@
 // writeOnce makes one write and reports whether more is to be written.
 func (t *term) writeOnce(ctx context.Context) bool {
 	b := t.nextBatch()
-	sent := sinceBoot()
+	sent := t.now()
 	if len(b.puts) == 0 && len(b.removes) == 0 && sent-t.writer.renewedAt() < renewInterval/2 {
 		t.finishBatch(b)
 		return false
@@ -225,7 +225,7 @@
 			Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.WorkersKey, Value: registrar.Encode(w.workers),
 		})
 	}
-	if now := sinceBoot(); now-w.pendingAt >= pendingInterval {
+	if now := t.now(); now-w.pendingAt >= pendingInterval {
 		if pending := t.arranger.Pending(); !maps.Equal(pending, w.pending) {
 			b.newPending = pending
 			w.pendingAt = now
