--- /dev/null
+++ b/acceptor/batch_test.go
@@ -0,0 +1,90 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/snipelift/snipelift/faker"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+)
+
+const id = "aaaaaaaaaaaaaaaa"
+
+func newBatcher(client string) (*batcher, *faker.RowStore) {
+	store := faker.NewRowStore()
+	board := faker.NewSwitchboard()
+	board.Handle("store:1", store)
+	return &batcher{store: &platform.Store{Client: board.Client(client), Address: "store:1", Timeout: time.Second}}, store
+}
+
+func valueOf(digest string) []byte { return registrar.Encode(registrar.Job{Digest: digest}) }
+
+func TestOutcomesOfARecord(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before string
+		faults faker.RowFaults
+		want   error
+		stored bool
+	}{
+		{"written", "", faker.RowFaults{}, nil, true},
+		{"the same job is there", "d", faker.RowFaults{}, nil, true},
+		{"another job is there", "other", faker.RowFaults{}, errTaken, true},
+		{"store busy", "", faker.RowFaults{Busy: true}, platform.ErrNotDone, false},
+		{"reply lost once", "", faker.RowFaults{LoseReplies: 1}, nil, true},
+		{"store silent", "", faker.RowFaults{Silent: true}, platform.ErrUnknown, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, store := newBatcher("entry")
+				if test.before != "" {
+					if err := b.write(t.Context(), id, test.before, valueOf(test.before)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				store.SetFaults(test.faults)
+				ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+				defer cancel()
+				if err := b.write(ctx, id, "d", valueOf("d")); !errors.Is(err, test.want) {
+					t.Fatalf("got %v, want %v", err, test.want)
+				}
+				if _, ok := store.Rows(registrar.JobTable, registrar.Part(id))[id]; ok != test.stored {
+					t.Fatalf("stored: %v", ok)
+				}
+				store.SetFaults(faker.RowFaults{})
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+func TestRecordsThatWaitShareATransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, store := newBatcher("entry")
+		store.SetFaults(faker.RowFaults{Delay: 100 * time.Millisecond})
+		began := time.Now()
+		const records = 30
+		done := make(chan error, records)
+		for i, sent := 0, 0; sent < records; i++ {
+			other := fmt.Sprintf("%016x", i)
+			if registrar.Part(other) != registrar.Part(id) {
+				continue
+			}
+			sent++
+			go func() { done <- b.write(t.Context(), other, "d", valueOf("d")) }()
+		}
+		for range records {
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took > 300*time.Millisecond {
+			t.Fatalf("took %s, want two transactions", took)
+		}
+	})
+}
--- /dev/null
+++ b/director/lease_test.go
@@ -0,0 +1,51 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+)
+
+// look is one reading of the lease.
+type look struct {
+	at      time.Duration
+	version int64
+	lease   registrar.Lease
+	want    bool
+}
+
+func TestALeaseIsTakenOnlyWhenItIsSurelyFree(t *testing.T) {
+	other := registrar.Lease{Node: "other"}
+	for _, test := range []struct {
+		name  string
+		looks []look
+	}{
+		{"nobody has it", []look{{at: time.Second, want: true}}},
+		{"it was released", []look{{at: time.Second, version: 3, lease: registrar.Lease{Node: "other", Released: true}, want: true}}},
+		{"an earlier process of this VM has it", []look{{at: time.Second, version: 3, lease: registrar.Lease{Node: "self"}, want: true}}},
+		{"it is renewed", []look{
+			{at: 1000 * time.Millisecond, version: 3, lease: other}, {at: 2000 * time.Millisecond, version: 4, lease: other},
+			{at: 3000 * time.Millisecond, version: 5, lease: other},
+		}},
+		{"it is silent", []look{
+			{at: 1000 * time.Millisecond, version: 3, lease: other}, {at: 2000 * time.Millisecond, version: 3, lease: other},
+			{at: 2700 * time.Millisecond, version: 3, lease: other, want: true},
+		}},
+		// The store was away for everybody, so that the owner could not renew either.
+		{"the store was away", []look{
+			{at: 1000 * time.Millisecond, version: 3, lease: other}, {at: 6000 * time.Millisecond, version: 3, lease: other},
+			{at: 7000 * time.Millisecond, version: 3, lease: other}, {at: 7700 * time.Millisecond, version: 3, lease: other, want: true},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := leaseWatch{}
+			for i, l := range test.looks {
+				if got := w.mayTake(l.at, platform.Row{Version: l.version}, l.lease, "self"); got != l.want {
+					t.Fatalf("look %d: got %v, want %v", i, got, l.want)
+				}
+			}
+		})
+	}
+}
