--- a/arranger/model.go
+++ b/arranger/model.go
@@ -177,6 +177,18 @@
 	EndedOtherwise
 )
 
+// String returns the way in words.
+func (h How) String() string {
+	switch h {
+	case EndedDone:
+		return "done"
+	case EndedFailed:
+		return "failed"
+	case EndedOtherwise:
+	}
+	return "cut short"
+}
+
 // StartOrder asks to start a task on a worker.
 type StartOrder struct {
 	Task       TaskName
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -199,7 +199,7 @@
 	}
 	a.dirty[t.stage.job.ID] = true
 	a.saveCheckpoint(t, e.Checkpoint)
-	a.options.Note("run ended", "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How, "number", e.Number)
+	a.options.Note("run ended", "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How.String(), "number", e.Number)
 	switch e.How {
 	case EndedDone:
 		w.health.succeed()
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -68,6 +68,9 @@
 	document, documentCommands := newDocument()
 	parser.AttachSubcommand(document, 1)
 	list = append(list, documentCommands...)
+	logs, logsCommands := newLogs()
+	parser.AttachSubcommand(logs, 1)
+	list = append(list, logsCommands...)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return c.fail(fmt.Errorf("%w: %w", errUsage, err))
 	}
--- /dev/null
+++ b/explainer/explainer.go
@@ -0,0 +1,120 @@
+package explainer
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds a line of a log.
+const maxLine = 1 << 20
+
+// surroundings are messages about what all requests of the time depended on.
+var surroundings = map[string]bool{
+	"lease taken": true, "lease lost": true, "lease given up": true, "lease released": true, "state loaded": true,
+	"store does not answer": true, "store answers again": true, "configuration in force": true,
+	"process started": true, "process draining": true, "process stopped": true, "log lines dropped": true,
+}
+
+// line is one line of a log.
+type line struct {
+	at     time.Time
+	fields map[string]any
+	own    bool
+}
+
+// Explain writes the lines about a job, with those about owners, the store and the configuration from its first line to its last; it returns the number of lines about the job.
+func Explain(logs []io.Reader, job string, out io.Writer) (int, error) {
+	var lines []line
+	for _, log := range logs {
+		more, err := read(log, job)
+		if err != nil {
+			return 0, err
+		}
+		lines = append(lines, more...)
+	}
+	slices.SortStableFunc(lines, func(x, y line) int { return x.at.Compare(y.at) })
+	first := slices.IndexFunc(lines, func(l line) bool { return l.own })
+	if first < 0 {
+		return 0, nil
+	}
+	last := first
+	count := 0
+	for i, l := range lines {
+		if l.own {
+			last = i
+			count++
+		}
+	}
+	for _, l := range lines[first : last+1] {
+		if _, err := fmt.Fprintln(out, l); err != nil {
+			return count, fmt.Errorf("write explanation: %w", err)
+		}
+	}
+	return count, nil
+}
+
+func read(log io.Reader, job string) ([]line, error) {
+	var lines []line
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		// Collectors put a time and a name before the line.
+		_, text, ok := strings.Cut(scanner.Text(), "{")
+		if !ok {
+			continue
+		}
+		l := line{}
+		decoder := json.NewDecoder(strings.NewReader("{" + text))
+		decoder.UseNumber()
+		if decoder.Decode(&l.fields) != nil {
+			continue
+		}
+		l.own = mentions(l.fields, job)
+		message, _ := l.fields["msg"].(string)
+		if !l.own && !surroundings[message] {
+			continue
+		}
+		stamp, _ := l.fields["time"].(string)
+		at, err := time.Parse(time.RFC3339Nano, stamp)
+		if err != nil {
+			continue
+		}
+		l.at = at
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return lines, nil
+}
+
+// mentions reports whether a line is about the job, one of its tasks, or work displaced for it.
+func mentions(fields map[string]any, job string) bool {
+	task, _ := fields["task"].(string)
+	return fields["job"] == job || fields["for"] == job || strings.HasPrefix(task, job+".")
+}
+
+// String returns the line as a person reads it: time, node, message and the other fields by name.
+func (l line) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %-22v %v", l.at.Format("15:04:05.000"), l.fields["node"], l.fields["msg"])
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		if name != "time" && name != "node" && name != "msg" && name != "level" {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, cmp.Compare)
+	for _, name := range names {
+		if value := l.fields[name]; value != "" {
+			fmt.Fprintf(&text, " %s=%v", name, value)
+		}
+	}
+	return text.String()
+}
