Plan only when something changed, and name tasks once

Each report of a worker asked for a plan. Change: places keep their order, a task's name is formatted once, stages are asked for one waiting task instead of a list, reports ask for a plan only when something changed.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -29,6 +29,8 @@
 	// unheard are the workers on which an earlier owner may have started tasks, with the time when the last lease there has lapsed.
 	unheard  map[string]time.Time
 	claims   [][]*place
+	// changed tells that something happened since the last plan that another plan could use.
+	changed bool
 	sequence int
 }
 
@@ -78,6 +80,7 @@
 	j.chain = chainOf(j.Steps)
 	j.due = j.Accepted.Add(time.Duration(j.Policy.Stretch*float64(j.chain)) + j.Policy.Objective)
 	a.active = append(a.active, j)
+	a.changed = true
 	a.makeOccurrences(j, now)
 	a.restore(j, progress)
 	a.readyStages(j, now)
@@ -151,6 +154,7 @@
 		return
 	}
 	j.state = state
+	a.changed = true
 	a.dirty[j.ID] = true
 	a.options.Note("job ended", "job", j.ID, "queue", j.Queue, "state", state, "reason", reason)
 	for _, s := range j.stages {
@@ -206,8 +210,8 @@
 	return ids
 }
 
-// MarkDirty asks for the progress of a job to be recorded again.
-func (a *Arranger) MarkDirty(id string) { a.dirty[id] = true }
+// WantsPlan reports whether something happened since the last plan that another plan could use.
+func (a *Arranger) WantsPlan() bool { return a.changed }
 
 // Pending returns for each queue the number of jobs of which no task has started; jobs that are not due yet do not count.
 func (a *Arranger) Pending() map[string]int {
--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -61,7 +61,7 @@
 	r := Report{Worker: worker, Asked: b.now, Ended: []EndReport{{
 		Number: b.numbers[worker], Task: task.String(), Run: run, How: how,
 	}}}
-	for p := range b.workers[worker].places {
+	for _, p := range b.workers[worker].places {
 		if p.state != placeClaimed && p.task.name() != task {
 			r.Running = append(r.Running, RunReport{Task: p.task.name().String(), Run: p.run})
 		}
--- a/arranger/check.go
+++ b/arranger/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // ErrBroken means that the state contradicts itself.
@@ -27,7 +28,7 @@
 
 func (w *worker) check() error {
 	taken := Resources{}
-	for p := range w.places {
+	for _, p := range w.places {
 		if p.worker != w {
 			return fmt.Errorf("%w: place of %s is listed at another worker", ErrBroken, p.task.name())
 		}
@@ -43,7 +44,7 @@
 
 // adopted reports whether the worker has runs of an earlier owner, of which it is the only judge.
 func (w *worker) adopted() bool {
-	for p := range w.places {
+	for _, p := range w.places {
 		if p.adopted {
 			return true
 		}
@@ -62,7 +63,7 @@
 		if p == nil {
 			continue
 		}
-		if !p.worker.places[p] {
+		if !slices.Contains(p.worker.places, p) {
 			return fmt.Errorf("%w: place of %s is unknown to its worker", ErrBroken, t.name())
 		}
 		if s.ready.IsZero() && p.state != placeStopping {
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -13,11 +13,12 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{places: map[*place]bool{}, strangers: map[string]Resources{}}
+		w = &worker{strangers: map[string]Resources{}}
 		a.workers[info.ID] = w
 		a.order = append(a.order, w)
 		slices.SortFunc(a.order, func(x, y *worker) int { return compareText(x.ID, y.ID) })
 	}
+	a.changed = a.changed || w.Draining != info.Draining || w.Capacity != info.Capacity
 	w.Worker = info
 	if w.ID == "" {
 		w.ID = info.ID
@@ -51,6 +52,7 @@
 // SetReachable tells whether a worker answers; one that does not keeps what it runs but gets no new work.
 func (a *Arranger) SetReachable(id string, reachable bool) {
 	if w := a.workers[id]; w != nil {
+		a.changed = a.changed || w.reachable != reachable
 		w.reachable = reachable
 	}
 }
@@ -64,14 +66,15 @@
 	}
 	delete(a.workers, id)
 	a.order = slices.DeleteFunc(a.order, func(other *worker) bool { return other == w })
-	for p := range w.places {
+	for _, p := range slices.Clone(w.places) {
 		a.vacate(p, reason)
 	}
 }
 
 // vacate takes away a place whose run has surely ended or never began; the task waits again unless it is done.
 func (a *Arranger) vacate(p *place, reason string) {
-	delete(p.worker.places, p)
+	p.worker.remove(p)
+	a.changed = true
 	t := p.task
 	if t.place == p {
 		t.place = nil
@@ -79,7 +82,7 @@
 	if t.done || t.stage.job.state.Final() {
 		return
 	}
-	a.options.Note("task waits again", "task", t.name().String(), "run", p.run, "worker", p.worker.ID, "reason", reason)
+	a.options.Note("task waits again", "task", t.label(), "run", p.run, "worker", p.worker.ID, "reason", reason)
 	if t.stage.step.Gang {
 		a.breakGang(t.stage, reason)
 	}
@@ -101,7 +104,8 @@
 
 // dropPlace gives up a claim.
 func (a *Arranger) dropPlace(p *place) {
-	delete(p.worker.places, p)
+	p.worker.remove(p)
+	a.changed = true
 	if p.task.place == p {
 		p.task.place = nil
 	}
@@ -124,7 +128,7 @@
 }
 
 func (a *Arranger) orderStop(p *place) {
-	a.orders.Stops = append(a.orders.Stops, StopOrder{Task: p.task.name().String(), Run: p.run, Worker: p.worker.ID, Reason: p.reason})
+	a.orders.Stops = append(a.orders.Stops, StopOrder{Task: p.task.label(), Run: p.run, Worker: p.worker.ID, Reason: p.reason})
 }
 
 // WorkerIDs returns the IDs of all workers.
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -11,7 +11,6 @@
 	worker *worker
 	// free is what nothing occupies; prospect adds what is being vacated.
 	free, prospect Resources
-	places         []*place
 }
 
 // survey is one pass of planning over the fleet.
@@ -49,10 +48,6 @@
 		sl := &slot{worker: w, free: w.free(), prospect: w.prospect()}
 		s.accelerators += w.Capacity.Accelerators
 		s.free += max(0, sl.free.Accelerators)
-		for p := range w.places {
-			sl.places = append(sl.places, p)
-		}
-		slices.SortFunc(sl.places, func(x, y *place) int { return compareText(x.task.name().String(), y.task.name().String()) })
 		s.slots = append(s.slots, sl)
 		s.byWorker[w] = sl
 		if !slices.Contains(s.racks, w.Rack) {
@@ -79,18 +74,21 @@
 		requires: u.stage.step.Requires, service: u.stage.job.Policy.Service,
 	}
 	if u.stage.step.Gang {
-		key.gang = len(u.waiting)
+		key.gang = len(u.stage.tasks)
 	}
 	if s.refused[key] {
 		return
 	}
 	if u.stage.step.Gang {
-		if !s.placeTogether(u, u.waiting) {
+		if !s.placeTogether(u, u.stage.tasks) {
 			s.refused[key] = true
 		}
 		return
 	}
-	for _, t := range u.waiting {
+	for _, t := range u.stage.tasks {
+		if t.done || t.place != nil {
+			continue
+		}
 		if !s.placeTogether(u, []*task{t}) {
 			s.refused[key] = len(t.failedOn) == 0 && u.stage.step.MaxPerWorker == 0
 			return
@@ -258,7 +256,7 @@
 
 func (sl *slot) count(s *stage) int {
 	count := 0
-	for _, p := range sl.places {
+	for _, p := range sl.worker.places {
 		if p.task.stage == s {
 			count++
 		}
@@ -290,7 +288,7 @@
 // displace chooses the work whose stop makes room at the least loss.
 func (t *trial) displace(c *choice, room, need Resources) bool {
 	var candidates []*place
-	for _, p := range c.slot.places {
+	for _, p := range c.slot.worker.places {
 		if t.gone[p] || !t.mayStop(p) {
 			continue
 		}
@@ -416,7 +414,7 @@
 func (s *survey) commit(u unit, tasks []*task, p *packing) {
 	a := s.arranger
 	for _, victim := range p.victims {
-		a.options.Note("run displaced", "task", victim.task.name().String(), "run", victim.run,
+		a.options.Note("run displaced", "task", victim.task.label(), "run", victim.run,
 			"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
 		a.stop(victim, "displaced by "+u.stage.job.ID)
 		if sl := s.byWorker[victim.worker]; sl != nil {
@@ -428,8 +426,7 @@
 		sl := p.slots[i]
 		pl := &place{task: t, worker: sl.worker, state: placeClaimed, began: s.now}
 		t.place = pl
-		sl.worker.places[pl] = true
-		sl.places = append(sl.places, pl)
+		sl.worker.places = append(sl.worker.places, pl)
 		sl.free = sl.free.Minus(t.stage.step.Need)
 		sl.prospect = sl.prospect.Minus(t.stage.step.Need)
 		s.free -= t.stage.step.Need.Accelerators
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -36,16 +36,16 @@
 
 // unit is a stage with tasks that wait.
 type unit struct {
-	stage   *stage
-	waiting []*task
-	rank    rank
-	hope    hope
+	stage *stage
+	rank  rank
+	hope  hope
 	// latest is when the job has to start to be in time.
 	latest time.Time
 }
 
 // Plan places waiting work; its orders are taken by TakeOrders.
 func (a *Arranger) Plan(now time.Time) {
+	a.changed = false
 	for _, j := range slices.Clone(a.active) {
 		if j.made < j.Times {
 			a.makeOccurrences(j, now)
@@ -55,8 +55,12 @@
 	a.leaveStalled(now)
 	a.repeatStops(now)
 	a.startClaims(now)
+	units := a.units(now)
+	if len(units) == 0 {
+		return
+	}
 	s := a.newSurvey(now)
-	for _, u := range a.units(now) {
+	for _, u := range units {
 		s.place(u)
 	}
 }
@@ -86,38 +90,30 @@
 			continue
 		}
 		for _, s := range j.stages {
-			if s.left == 0 || s.ready.IsZero() {
-				continue
+			if s.left > 0 && !s.ready.IsZero() && s.waits() {
+				units = append(units, a.unitOf(now, s, ranks[j]))
 			}
-			waiting := s.waiting(now)
-			if len(waiting) == 0 {
-				continue
-			}
-			units = append(units, a.unitOf(now, s, waiting, ranks[j]))
 		}
 	}
 	slices.SortStableFunc(units, compareUnits)
 	return units
 }
 
-// waiting returns the tasks that could start; of a gang all or none.
-func (s *stage) waiting(now time.Time) []*task {
-	var waiting []*task
+// waits reports whether a task of the stage could start; of a gang only all together.
+func (s *stage) waits() bool {
 	for _, t := range s.tasks {
-		if !t.done && t.place == nil && !now.Before(t.notBefore) {
-			waiting = append(waiting, t)
+		waits := !t.done && t.place == nil
+		if waits != s.step.Gang {
+			return waits
 		}
 	}
-	if s.step.Gang && len(waiting) < len(s.tasks) {
-		return nil
-	}
-	return waiting
+	return s.step.Gang
 }
 
-func (a *Arranger) unitOf(now time.Time, s *stage, waiting []*task, r rank) unit {
+func (a *Arranger) unitOf(now time.Time, s *stage, r rank) unit {
 	j := s.job
 	left := j.remaining()
-	u := unit{stage: s, waiting: waiting, rank: r, latest: j.due.Add(-left)}
+	u := unit{stage: s, rank: r, latest: j.due.Add(-left)}
 	switch {
 	case now.Before(u.latest):
 		u.hope = hopeInTime
@@ -191,7 +187,7 @@
 // repeatStops orders stops again that have shown no effect.
 func (a *Arranger) repeatStops(now time.Time) {
 	for _, w := range a.order {
-		for p := range w.places {
+		for _, p := range w.places {
 			if p.state != placeStopping {
 				continue
 			}
@@ -221,7 +217,7 @@
 		case a.clear(now, group):
 			a.start(now, group, "room has been cleared")
 		case now.Sub(group[0].began) > a.options.StopTime+claimSlack:
-			a.options.Note("claim given up", "task", group[0].task.name().String())
+			a.options.Note("claim given up", "task", group[0].task.label())
 			for _, p := range group {
 				a.dropPlace(p)
 			}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -37,6 +37,7 @@
 	if w == nil {
 		return
 	}
+	a.changed = a.changed || !w.heard || !w.reachable
 	w.heard = true
 	w.reachable = true
 	delete(a.unheard, w.ID)
@@ -78,8 +79,8 @@
 
 // placeOf returns the place of a run on the worker, or nil.
 func (w *worker) placeOf(r RunReport) *place {
-	for p := range w.places {
-		if p.run == r.Run && p.task.name().String() == r.Task {
+	for _, p := range w.places {
+		if p.run == r.Run && p.task.label() == r.Task {
 			return p
 		}
 	}
@@ -88,6 +89,7 @@
 
 // takeStranger stops a run that nothing accounts for.
 func (a *Arranger) takeStranger(w *worker, r RunReport, need Resources, known bool) {
+	a.changed = true
 	w.strangers[r.Task] = need
 	if !known {
 		w.strangersFull = true
@@ -101,7 +103,8 @@
 	t.lastRun = r.Run
 	p := &place{task: t, worker: w, run: r.Run, state: placeRunning, began: now, confirmed: asked.Add(-time.Nanosecond), adopted: true}
 	t.place = p
-	w.places[p] = true
+	w.places = append(w.places, p)
+	a.changed = true
 	a.begin(t.stage.job)
 	a.advance(now, p, r)
 	a.options.Note("run taken over", "task", r.Task, "run", r.Run, "worker", w.ID, "percent", r.Percent)
@@ -172,11 +175,11 @@
 
 // dropAbsent vacates the places that the worker would have listed if they still ran.
 func (a *Arranger) dropAbsent(w *worker, asked time.Time, listed map[string]int64) {
-	for p := range w.places {
+	for _, p := range slices.Clone(w.places) {
 		if p.state == placeClaimed || p.confirmed.IsZero() || !p.confirmed.Before(asked) {
 			continue
 		}
-		if run, ok := listed[p.task.name().String()]; ok && run == p.run {
+		if run, ok := listed[p.task.label()]; ok && run == p.run {
 			continue
 		}
 		a.vacate(p, "no longer on its worker")
@@ -218,8 +221,8 @@
 
 // dropEnded gives back the room of a run whose task is done or whose job has ended.
 func (a *Arranger) dropEnded(w *worker, e EndReport) {
-	for p := range w.places {
-		if p.run == e.Run && p.task.name().String() == e.Task {
+	for _, p := range slices.Clone(w.places) {
+		if p.run == e.Run && p.task.label() == e.Task {
 			a.dropPlace(p)
 		}
 	}
@@ -252,6 +255,7 @@
 		}
 	}
 	a.begin(j)
+	a.changed = true
 	if t.stage.left == 0 {
 		a.readyStages(j, now)
 		a.settle(j)
@@ -363,8 +367,8 @@
 	if w == nil {
 		return
 	}
-	for p := range w.places {
-		if p.run == run && p.state == placeStopping && p.task.name().String() == task {
+	for _, p := range w.places {
+		if p.run == run && p.state == placeStopping && p.task.label() == task {
 			p.confirmed = now
 		}
 	}
--- a/arranger/stall.go
+++ b/arranger/stall.go
@@ -11,7 +11,7 @@
 		if !w.reachable {
 			continue
 		}
-		for p := range w.places {
+		for _, p := range w.places {
 			if p.state != placeRunning || p.worked.IsZero() || p.task.done || p.task.stage.step.Lasting ||
 				now.Sub(p.advanced) < stallLimit || p.reported.Sub(p.advanced) < stallLimit || p.percent >= wholePercent {
 				continue
@@ -20,7 +20,7 @@
 				continue
 			}
 			w.health.leaveOut(now)
-			a.options.Note("run stands still", "task", p.task.name().String(), "run", p.run, "worker", w.ID,
+			a.options.Note("run stands still", "task", p.task.label(), "run", p.run, "worker", w.ID,
 				"percent", p.percent, "since", now.Sub(p.advanced).String())
 			a.stop(p, "run stands still")
 		}
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"slices"
 	"time"
 )
 
@@ -44,6 +45,7 @@
 
 type task struct {
 	stage *stage
+	text  string
 	index int
 	done  bool
 	place *place
@@ -52,7 +54,6 @@
 	// failedRuns are the runs that count as failed; reports of them may come in any order, and again.
 	failedRuns []int64
 	checkpoint string
-	notBefore  time.Time
 	// failedOn are the workers on which the task failed.
 	failedOn map[string]bool
 }
@@ -61,6 +62,14 @@
 	return TaskName{Job: t.stage.job.ID, Occurrence: t.stage.occurrence, Step: t.stage.number, Index: t.index}
 }
 
+// label returns the text form of the task's name, which is built once.
+func (t *task) label() string {
+	if t.text == "" {
+		t.text = t.name().String()
+	}
+	return t.text
+}
+
 // stage is one step of one occurrence of a job.
 type stage struct {
 	job        *job
@@ -105,7 +114,8 @@
 
 type worker struct {
 	Worker
-	places map[*place]bool
+	// places are in the order in which they were taken.
+	places []*place
 	// heard tells that the worker has answered under the present owner's fence.
 	heard bool
 	// reachable tells that the latest report arrived in time.
@@ -120,10 +130,15 @@
 	health       health
 }
 
+// remove drops a place.
+func (w *worker) remove(p *place) {
+	w.places = slices.DeleteFunc(w.places, func(other *place) bool { return other == p })
+}
+
 // occupied returns what all places take, with those that are being vacated.
 func (w *worker) occupied() Resources {
 	var sum Resources
-	for p := range w.places {
+	for _, p := range w.places {
 		sum = sum.Plus(p.task.stage.step.Need)
 	}
 	for _, r := range w.strangers {
@@ -135,7 +150,7 @@
 // taken returns what all runs take that were ordered, without claims.
 func (w *worker) taken() Resources {
 	var sum Resources
-	for p := range w.places {
+	for _, p := range w.places {
 		if p.state != placeClaimed {
 			sum = sum.Plus(p.task.stage.step.Need)
 		}
@@ -152,7 +167,7 @@
 // prospect returns what will be free once all that is being stopped has left.
 func (w *worker) prospect() Resources {
 	sum := w.Capacity
-	for p := range w.places {
+	for _, p := range w.places {
 		if p.state != placeStopping {
 			sum = sum.Minus(p.task.stage.step.Need)
 		}
--- a/director/fleet.go
+++ b/director/fleet.go
@@ -22,8 +22,11 @@
 		if err == nil {
 			t.mu.Lock()
 			t.takeWorkerRows(page.Rows)
+			wants := t.arranger.WantsPlan()
 			t.mu.Unlock()
-			t.wake()
+			if wants {
+				t.wake()
+			}
 		}
 		sleeper.Sleep(ctx, listPause)
 	}
--- a/director/session.go
+++ b/director/session.go
@@ -178,7 +178,9 @@
 		s.count = t.writer.change(t.arranger.TakeDirty())
 		t.writer.signal()
 	}
-	t.wake()
+	if t.arranger.WantsPlan() {
+		t.wake()
+	}
 	return s.recorded < s.ends
 }
 
