--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -326,3 +326,73 @@
 		}
 	}
 }
+
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	b := newBench(t, 1, 4)
+	j := jobOf("timed", 2, single(1, 1))
+	j.Times, j.First, j.Interval = 2, start.Add(10*time.Second), 5*time.Second
+	b.AddJob(b.now, j, Progress{}, false)
+	for _, want := range []struct {
+		after  time.Duration
+		starts int
+	}{{9 * time.Second, 0}, {time.Second, 1}, {4 * time.Second, 0}, {time.Second, 1}, {time.Minute, 0}} {
+		o := b.pass(want.after)
+		if len(o.Starts) != want.starts {
+			t.Fatalf("at %s: %d starts, want %d", b.now.Sub(start), len(o.Starts), want.starts)
+		}
+		b.confirm(o)
+	}
+	for k := range 2 {
+		if got := b.Progress("timed").State; got != Running {
+			t.Fatalf("state %q before occurrence %d has ended", got, k)
+		}
+		p := b.jobs["timed"].byKey[[2]int{k, 0}].tasks[0].place
+		b.end(p.worker.ID, p.task.name(), p.run, EndedDone)
+	}
+	if got := b.Progress("timed").State; got != Succeeded {
+		t.Fatalf("state %q, want succeeded", got)
+	}
+}
+
+func TestTasksThatLastAreStartedAgainHoweverTheyEnd(t *testing.T) {
+	b := newBench(t, 1, 4)
+	step := single(1, 1)
+	step.Lasting = true
+	b.AddJob(b.now, jobOf("lasting", 2, step), Progress{}, false)
+	for i, how := range []How{EndedDone, EndedFailed, EndedOtherwise, EndedFailed, EndedFailed, EndedFailed} {
+		o := b.pass(10 * time.Second)
+		if len(o.Starts) != 1 {
+			t.Fatalf("after %d ends: %d starts, want one", i, len(o.Starts))
+		}
+		b.confirm(o)
+		b.end(o.Starts[0].Worker, o.Starts[0].Task, o.Starts[0].Run, how)
+	}
+	if got := b.Progress("lasting").State; got != Running {
+		t.Fatalf("state %q, want running", got)
+	}
+}
+
+func TestAStepKeepsToLabelsAndToItsBoundOnAWorker(t *testing.T) {
+	b := newBench(t, 2, 2)
+	step := single(8, 1)
+	step.MaxPerWorker, step.Requires = 2, "r1-1"
+	b.AddJob(b.now, jobOf("bound", 2, step), Progress{}, false)
+	counts := map[string]int{}
+	for _, s := range b.pass(0).Starts {
+		counts[s.Worker]++
+	}
+	if len(counts) != 2 || counts["w1-0"] != 2 || counts["w1-1"] != 2 {
+		t.Fatalf("got %v, want two on each worker of the rack with the label", counts)
+	}
+}
+
+func TestDrainingWorkersGetNoNewWork(t *testing.T) {
+	b := newBench(t, 1, 1)
+	w, _ := b.Worker("w0-0")
+	w.Draining = true
+	b.SetWorker(w)
+	b.AddJob(b.now, jobOf("job", 0, single(1, 1)), Progress{}, false)
+	if o := b.pass(0); len(o.Starts) != 0 {
+		t.Fatalf("started on a draining worker: %+v", o.Starts)
+	}
+}
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -289,3 +289,25 @@
 		s.await(e, jobA, "succeeded", 15*time.Second)
 	})
 }
+
+func TestRowsOfJobsThatEndedLongAgoAreRemoved(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.submit(s.entries[0], jobB, faker.TaskJob{Duration: 10 * time.Minute, Accelerators: 1}, 1)
+		s.await(s.entries[0], jobA, "succeeded", 3*time.Second)
+		time.Sleep(time.Minute)
+		if got := s.state(s.entries[1], jobA); !strings.Contains(got, "succeeded") {
+			t.Fatalf("within the promised time: %s", got)
+		}
+		time.Sleep(time.Minute)
+		if got, _ := s.call(s.entries[1], "key", http.MethodGet, "/l/"+jobA, ""); got != http.StatusGone {
+			t.Errorf("long after its end: %d", got)
+		}
+		if got := s.state(s.entries[1], jobB); !strings.Contains(got, "running") {
+			t.Errorf("the running job shows %s", got)
+		}
+		if rows := s.store.Rows("progress", "owner"); len(rows) != 1 {
+			t.Errorf("%d progress rows are left, want that of the running job", len(rows))
+		}
+	})
+}
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -88,7 +88,7 @@
 		Node: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
 		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
-		Bounds: platform.Bounds{LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, RemoteFactor: 3},
+		Bounds: platform.Bounds{LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusTime: time.Minute, RemoteFactor: 3},
 	}
 	followed := make(chan struct{})
 	go func() {
--- a/director/term.go
+++ b/director/term.go
@@ -85,6 +85,7 @@
 		t.spawn(func() { t.followJobs(ctx, from) })
 		t.spawn(func() { t.followWorkers(ctx) })
 		t.spawn(func() { t.plan(ctx) })
+		t.spawn(func() { t.clean(ctx) })
 	}
 	<-ctx.Done()
 	t.tasks.Wait()
@@ -165,6 +166,12 @@
 	}
 	t.expectWorkers(known, listed.Rows)
 	t.takeJobRows(rows, recorded)
+	for id, p := range recorded {
+		if p.EndedMillis > 0 && !t.arranger.Knows(id) {
+			// An earlier owner removed the job's row and ended before it removed this one.
+			t.writer.remove([]string{id})
+		}
+	}
 	t.Logger.Info("state loaded", "epoch", t.lease.Epoch, "jobs", len(rows), "progress", len(recorded), "from", from, "workers", len(listed.Rows))
 	return from, nil
 }
--- a/director/writer.go
+++ b/director/writer.go
@@ -37,10 +37,12 @@
 	dirty map[string]bool
 	// changes counts what happened; recorded is the count up to which the store knows.
 	changes, recorded uint64
-	workers           []registrar.KnownWorker
-	workersChanged    bool
-	pending           map[string]int
-	pendingAt         time.Duration
+	// removed are the jobs whose progress rows are to be removed.
+	removed        []string
+	workers        []registrar.KnownWorker
+	workersChanged bool
+	pending        map[string]int
+	pendingAt      time.Duration
 }
 
 func (w *writer) init(version int64, taken time.Duration) {
@@ -71,6 +73,14 @@
 	return w.changes
 }
 
+// remove asks for the progress rows of jobs to be removed.
+func (w *writer) remove(ids []string) {
+	w.mu.Lock()
+	w.removed = append(w.removed, ids...)
+	w.mu.Unlock()
+	w.signal()
+}
+
 // isRecorded reports whether the store knows of all changes up to the count.
 func (w *writer) isRecorded(count uint64) bool {
 	w.mu.Lock()
@@ -218,6 +228,13 @@
 		delete(w.dirty, id)
 		b.puts = append(b.puts, t.progressRow(id))
 	}
+	if n := min(len(w.removed), maxRows-len(b.ids)); n > 0 {
+		for _, id := range w.removed[:n] {
+			b.removes = append(b.removes, registrar.ProgressRow(id))
+		}
+		w.removed = w.removed[n:]
+		b.whole = b.whole && len(w.removed) == 0
+	}
 	if w.workersChanged {
 		b.withFleet = true
 		w.workersChanged = false
@@ -277,6 +294,9 @@
 	for _, id := range b.ids {
 		w.dirty[id] = true
 	}
+	for _, row := range b.removes {
+		w.removed = append(w.removed, row.Key)
+	}
 	if b.withFleet {
 		w.workersChanged = true
 	}
