Leave the lease to VMs that can carry it

Change: a VM with less than 0.4 of a core waits 1.2 s longer for a lease that is nobody's; its own it takes back at once.

--- a/director/director.go
+++ b/director/director.go
@@ -20,6 +20,10 @@
 	watchGap = 1300 * time.Millisecond
 	// leaseSilence is how long a lease must stay unchanged before another takes it.
 	leaseSilence = 1600 * time.Millisecond
+	// smallCores is the processor share below which a VM leaves the lease to larger ones.
+	smallCores = 0.4
+	// smallPatience is how much longer a small VM waits; two looks of a larger one fit in.
+	smallPatience = 1200 * time.Millisecond
 	// actLimit is how long an owner goes on without a renewal, so that an outage of the store does not stop the service.
 	actLimit = 6 * time.Second
 	// strictLimit is the age of a renewal at which nobody else can hold the lease yet.
@@ -34,14 +38,16 @@
 	Workers     *platform.Workers
 	Config      *follower.Follower
 	Bounds      platform.Bounds
-	Logger      *slog.Logger
+	// Cores is the processor share of the VM; 0 counts as enough for an owner.
+	Cores  float64
+	Logger *slog.Logger
 	// Clock is a steady time that also counts while the VM is suspended; nil means the kernel's time since boot.
 	Clock func() time.Duration
 }
 
 // Run takes part until the context ends, then releases the lease if it holds it.
 func (d *Director) Run(ctx context.Context) {
-	w := leaseWatch{}
+	w := leaseWatch{patience: d.patience()}
 	for ctx.Err() == nil {
 		row, err := d.Store.Get(ctx, registrar.LeaseTable, registrar.OwnerPart, registrar.LeaseKey)
 		now := d.now()
@@ -55,7 +61,7 @@
 		}
 		if w.mayTake(now, row, lease, d.Node) && d.Config.Current() != nil {
 			if d.reign(ctx, row, lease) {
-				w = leaseWatch{}
+				w = leaseWatch{patience: d.patience()}
 				continue
 			}
 		}
@@ -64,11 +70,21 @@
 	}
 }
 
+// patience returns how much longer than others this VM waits for the lease.
+func (d *Director) patience() time.Duration {
+	if d.Cores > 0 && d.Cores < smallCores {
+		return smallPatience
+	}
+	return 0
+}
+
 // leaseWatch decides when a lease may be taken; it holds no clock of its own.
 type leaseWatch struct {
 	version   int64
 	unchanged time.Duration
 	looked    time.Duration
+	// patience is how much longer than others this VM waits for a lease that is nobody's.
+	patience time.Duration
 }
 
 // mayTake reports whether the lease, as read now, is free: nobody's, released, of an earlier process of this VM, or silent for long enough.
@@ -78,7 +94,11 @@
 		w.unchanged = now
 	}
 	w.looked = now
-	return row.Version == 0 || lease.Released || lease.Node == node || now-w.unchanged >= leaseSilence
+	quiet := now - w.unchanged
+	if row.Version == 0 || lease.Released {
+		return quiet >= w.patience
+	}
+	return lease.Node == node || quiet >= leaseSilence+w.patience
 }
 
 // reign takes the lease and is the owner until it loses it; it reports whether it was.
--- a/director/lease_test.go
+++ b/director/lease_test.go
@@ -53,3 +53,28 @@
 		})
 	}
 }
+
+func TestASmallVMLeavesTheLeaseToLargerOnes(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		lease registrar.Lease
+		wait  time.Duration
+	}{
+		{"released", registrar.Lease{Node: "other", Released: true}, smallPatience},
+		{"silent", registrar.Lease{Node: "other"}, leaseSilence + smallPatience},
+		{"its own", registrar.Lease{Node: "self"}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := leaseWatch{patience: (&Director{Cores: smallCores / 2}).patience()}
+			const step = 100 * time.Millisecond
+			for at := time.Duration(0); ; at += step {
+				if w.mayTake(time.Second+at, platform.Row{Version: 3}, test.lease, "self") {
+					if at != test.wait {
+						t.Fatalf("taken after %s, want %s", at, test.wait)
+					}
+					return
+				}
+			}
+		})
+	}
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -79,7 +79,7 @@
 	d := &director.Director{
 		Node: h.Settings.Node, Incarnation: rand.Text(), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
-		Config:  h.config, Bounds: h.Settings.Bounds, Logger: h.Logger,
+		Config:  h.config, Bounds: h.Settings.Bounds, Logger: h.Logger, Cores: h.Settings.Cores,
 	}
 	d.Run(ctx)
 }
