Believe a report that was asked for after the first stop

Cause: a stop that showed no effect is ordered again after 1 s and the longest stop; each answer outdated the reports asked for before it. Ruled out: the worker (it answered reports and stops all along). Change: only the first answer to a stop counts. Before: TestAStopThatIsOrderedAgainDoesNotOutdateReports fails. After: it passes.

--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -396,3 +396,19 @@
 		t.Fatalf("started on a draining worker: %+v", o.Starts)
 	}
 }
+
+// Reports that wait for ends take as long as the time after which a stop is ordered again.
+func TestAStopThatIsOrderedAgainDoesNotOutdateReports(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.AddJob(b.now, jobOf("job", 2, single(1, 1)), Progress{}, false)
+	s := b.pass(0).Starts[0]
+	b.StartUnsure(s.Task, s.Run)
+	b.StopConfirmed(b.now, s.Task.String(), s.Run, s.Worker)
+	asked := b.now.Add(time.Second)
+	b.now = b.now.Add(2 * time.Second)
+	b.StopConfirmed(b.now, s.Task.String(), s.Run, s.Worker)
+	b.TakeReport(b.now, Report{Worker: s.Worker, Asked: asked})
+	if o := b.pass(0); len(o.Starts) != 1 {
+		t.Fatalf("got %+v, want the task started again", o)
+	}
+}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -368,7 +368,8 @@
 		return
 	}
 	for _, p := range w.places {
-		if p.run == run && p.state == placeStopping && p.task.label() == task {
+		// A stop that is ordered again must not outdate the reports that were asked for since the first.
+		if p.run == run && p.state == placeStopping && p.confirmed.IsZero() && p.task.label() == task {
 			p.confirmed = now
 		}
 	}
