--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -27,10 +27,10 @@
 	orders     Orders
 	dirty      map[string]bool
 	// unheard are the workers on which an earlier owner may have started tasks, with the time when the last lease there has lapsed.
-	unheard  map[string]time.Time
-	claims   [][]*place
+	unheard map[string]time.Time
+	claims  [][]*place
 	// changed tells that something happened since the last plan that another plan could use.
-	changed bool
+	changed  bool
 	sequence int
 }
 
@@ -223,21 +223,3 @@
 	}
 	return counts
 }
-
-// Waiting returns the number of tasks that could start if there were room.
-func (a *Arranger) Waiting() int {
-	count := 0
-	for _, j := range a.active {
-		for _, s := range j.stages {
-			if s.ready.IsZero() {
-				continue
-			}
-			for _, t := range s.tasks {
-				if !t.done && t.place == nil {
-					count++
-				}
-			}
-		}
-	}
-	return count
-}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -131,15 +131,6 @@
 	a.orders.Stops = append(a.orders.Stops, StopOrder{Task: p.task.label(), Run: p.run, Worker: p.worker.ID, Reason: p.reason})
 }
 
-// WorkerIDs returns the IDs of all workers.
-func (a *Arranger) WorkerIDs() []string {
-	ids := make([]string, 0, len(a.order))
-	for _, w := range a.order {
-		ids = append(ids, w.ID)
-	}
-	return ids
-}
-
 // Worker returns what is known of a worker, or false.
 func (a *Arranger) Worker(id string) (Worker, bool) {
 	if w := a.workers[id]; w != nil {
--- a/director/term.go
+++ b/director/term.go
@@ -47,7 +47,7 @@
 	sessions map[string]*session
 	// early is the version up to which an earlier owner may have read jobs.
 	early int64
-	// queues and organisations of jobs that have not ended are needed for their records.
+	// records hold what the progress rows of all known jobs need beside the arranger's state.
 	records map[string]jobRecord
 	writer  writer
 	view    *follower.View
