Wait for a kept connection before silencing it

A client trace of the failing run shows 'wrote EOF': the SDK closes a request's body once the answer is there, and where the transport still writes it, it closes the connection. The read then went out on a new one, which is not silent. Change: the test writes until a client trace says that a connection was kept; the check is as it was.

--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -140,22 +142,40 @@
 	}
 }
 
+// leaveIdleConnection writes row a until the transport has kept the connection of a write.
+//
+// The SDK closes a request's body once the answer is there. Where the transport
+// is still writing it then, it closes the connection instead of keeping it.
+func leaveIdleConnection(t *testing.T, table storer.Table) {
+	t.Helper()
+	kept := make(chan struct{}, 1)
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{PutIdleConn: func(err error) {
+		if err == nil {
+			kept <- struct{}{}
+		}
+	}})
+	for version := int64(0); ; version++ {
+		if err := table.Write(ctx, fmt.Sprintf("w%d", version), []storer.Change{put("a", version, "1")}); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-kept:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 func TestASilentConnectionIsReplacedByANewOne(t *testing.T) {
 	p := faker.NewPlatform()
 	s := httptest.NewServer(p)
 	t.Cleanup(s.Close)
-	client := s.Client()
-	// The transport hands a connection back after it has returned the response,
-	// so that the read could find none and go out on a second connection, which is not silent.
-	client.Transport.(*http.Transport).MaxConnsPerHost = 1 //nolint:forcetypeassert // httptest documents the type.
 	table := storer.NewDynamo(storer.DynamoOptions{
 		Endpoint: s.URL, Region: "local", Table: "snipelift", Service: "tabulator",
-		Credentials: aws.AnonymousCredentials{}, HTTPClient: client, Timeout: 300 * time.Millisecond,
+		Credentials: aws.AnonymousCredentials{}, HTTPClient: s.Client(), Timeout: 300 * time.Millisecond,
 	})
 	ctx := context.Background()
-	if err := table.Write(ctx, "w", []storer.Change{put("a", 0, "1")}); err != nil {
-		t.Fatal(err)
-	}
+	leaveIdleConnection(t, table)
 	p.Set(faker.Faults{Silent: true})
 	if _, err := table.Read(ctx, "a"); !errors.Is(err, storer.ErrUnavailable) {
 		t.Fatalf("read over a silent connection: %v", err)
