Keep rows within what the store takes

Cause: read again for failure paths that only look handled: a job larger than a row was answered 504 (outcome unknown) for good, and one job with many checkpoints would make the owner's write too large, which holds up all records and the renewal of the lease with them. Change: such a job is refused with 413 before any write; progress that fits into no row is recorded without checkpoints, with a log line. The stand-in store has the limit. Before: the case in TestKeysQueuesAndBodiesAreChecked got 200 from the stand-in, TestProgressThatFitsIntoNoRowDoesNotHoldUpTheOwner fails without the change.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -162,9 +162,14 @@
 	}
 	sum := sha256.Sum256(append([]byte(c.organisation+"\x00"+c.queue.Name+"\x00"), body...))
 	stored := registrar.Job{Job: a.jobOf(c, submission), Digest: hex.EncodeToString(sum[:8])}
+	value := registrar.Encode(stored)
+	if len(value) > registrar.MaxRecord {
+		a.refuse(c.w, c.r, c.id, http.StatusRequestEntityTooLarge, "job too large to be stored", 0)
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), unknownLimit)
 	defer cancel()
-	err = a.batchers[registrar.Part(c.id)].write(ctx, c.id, stored.Digest, registrar.Encode(stored))
+	err = a.batchers[registrar.Part(c.id)].write(ctx, c.id, stored.Digest, value)
 	a.answerSubmit(c, err)
 }
 
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -22,6 +22,18 @@
 	Checkpoint string  `json:"checkpoint,omitempty"`
 }
 
+// WithoutCheckpoints returns the progress with failed runs alone kept of tasks that are not done.
+func (p Progress) WithoutCheckpoints() Progress {
+	kept := map[string]TaskProgress{}
+	for name, t := range p.Tasks {
+		if len(t.FailedRuns) > 0 {
+			kept[name] = TaskProgress{FailedRuns: t.FailedRuns}
+		}
+	}
+	p.Tasks = kept
+	return p
+}
+
 // Progress returns what is to be recorded of the job.
 func (a *Arranger) Progress(id string) Progress {
 	j := a.jobs[id]
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -72,6 +72,8 @@
 }
 
 func TestKeysQueuesAndBodiesAreChecked(t *testing.T) {
+	const steps = 4000
+	manySteps := `{"spec":"x","steps":[` + strings.Repeat(`{"count":1},`, steps) + `{"count":1}]}`
 	run(t, 1, 1, func(s *service) {
 		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
 		for _, test := range []struct {
@@ -82,7 +84,8 @@
 			{"unknown queue", "key", http.MethodPost, "/none/" + jobB, "{}", http.StatusNotFound},
 			{"no JSON", "key", http.MethodPost, "/l/" + jobB, "{", http.StatusBadRequest},
 			{"no steps", "key", http.MethodPost, "/l/" + jobB, "{}", http.StatusBadRequest},
-			{"large body", "key", http.MethodPost, "/l/" + jobB, strings.Repeat(" ", 5000), http.StatusRequestEntityTooLarge},
+			{"large body", "key", http.MethodPost, "/l/" + jobB, strings.Repeat(" ", 200<<10), http.StatusRequestEntityTooLarge},
+			{"job that fits into no row", "key", http.MethodPost, "/l/" + jobB, manySteps, http.StatusRequestEntityTooLarge},
 			{"another organisation's job", "other", http.MethodGet, "/l/" + jobA, "", http.StatusGone},
 			{"another organisation cancels", "other", http.MethodDelete, "/l/" + jobA, "", http.StatusGone},
 			{"unknown job", "key", http.MethodGet, "/l/" + jobB, "", http.StatusGone},
@@ -311,3 +314,16 @@
 		}
 	})
 }
+
+// A job's checkpoints together are larger than a row; without its owner's writes the lease would go.
+func TestProgressThatFitsIntoNoRowDoesNotHoldUpTheOwner(t *testing.T) {
+	run(t, 1, 4, func(s *service) {
+		job := faker.TaskJob{Duration: 6 * time.Second, Accelerators: 1, FailRuns: 1, Checkpoint: strings.Repeat("c", 4000)}
+		s.submit(s.entries[0], jobA, job, 30)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		time.Sleep(6 * time.Second)
+		s.submit(s.entries[0], jobB, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.await(s.entries[0], jobB, "succeeded", 3*time.Second)
+		s.await(s.entries[0], jobA, "succeeded", 30*time.Second)
+	})
+}
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -48,7 +48,7 @@
 			"version":  1,
 			"routes":   []any{map[string]any{"name": "lookups", "host": "a.example", "prefix": "/l/", "service": "tabulator", "priority": 0, "maxAttempts": 3, "stretch": 1.5, "sloMs": 250}},
 			"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
-			"limits":   map[string]any{"maxBodyBytes": 4096},
+			"limits":   map[string]any{"maxBodyBytes": 128 << 10},
 			"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": 16}}, map[string]any{"name": "others", "apiKeys": []string{"other"}}},
 		})
 		for i := range workers {
--- a/director/writer.go
+++ b/director/writer.go
@@ -266,6 +266,12 @@
 	}
 	row := registrar.ProgressRow(id)
 	row.Value = registrar.Encode(p)
+	if len(row.Value) > registrar.MaxRecord {
+		// A row that the store does not take would hold up all others, and the lease with them.
+		t.Logger.Warn("progress too large, checkpoints not recorded", "job", id, "bytes", len(row.Value))
+		p.Progress = p.WithoutCheckpoints()
+		row.Value = registrar.Encode(p)
+	}
 	return row
 }
 
--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -198,8 +198,12 @@
 			answer.Rows = append(answer.Rows, current)
 		}
 	}
+	const maxValue = 64 << 10
 	for _, row := range slices.Concat(t.Upserts, t.Remove) {
 		parts[row.Part] = true
+		if len(row.Value) > maxValue {
+			return http.StatusBadRequest, rowAnswer{}
+		}
 		if row.Table == "op" || row.Table == "servers" {
 			return http.StatusForbidden, rowAnswer{}
 		}
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -29,6 +29,8 @@
 	Gang int
 	// Accelerators are what each task takes of its worker.
 	Accelerators int
+	// Checkpoint is what each running task says that it has saved.
+	Checkpoint string
 	// FailRuns is the number of runs of each task that fail first.
 	FailRuns int
 }
@@ -401,7 +403,7 @@
 	defer w.fleet.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, run := range w.runs {
-		running = append(running, []any{run.name, run.run, "", w.percent(run)})
+		running = append(running, []any{run.name, run.run, w.fleet.jobs[run.job].Checkpoint, w.percent(run)})
 	}
 	for _, e := range w.ends {
 		ended = append(ended, []any{e.number, e.name, e.run, e.how, ""})
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -29,6 +29,9 @@
 	PendingKey = "pending"
 )
 
+// MaxRecord is the largest value of a row that the store takes, in bytes.
+const MaxRecord = 64 << 10
+
 const (
 	// partCount spreads acceptance over parts, each of which applies one transaction after another.
 	partCount = 8
