Close two ways in which ended work could start again

Cause: read again for failure paths that only look handled. (1) A new owner whose clock is behind has not made an occurrence that an earlier one began: recorded ends of it were dropped, and ends that workers listed were taken for nobody's and acknowledged. (2) Reading the table of jobs anew could take in an ended job while its rows are removed, and then without its progress. Ruled out: jobs without occurrences, and the feed (it brings changes only). Change: occurrences with records or reports are made at once; a table read anew adds only rows newer than what was taken in. Before: TestAnOccurrenceBegunByAnEarlierOwnerIsKept fails in both cases. After: it passes.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -82,6 +82,7 @@
 	a.active = append(a.active, j)
 	a.changed = true
 	a.makeOccurrences(j, now)
+	a.makeThrough(j, progress.lastOccurrence())
 	a.restore(j, progress)
 	a.readyStages(j, now)
 	a.settle(j)
@@ -107,16 +108,28 @@
 		if j.Times > 0 && now.Before(j.First.Add(time.Duration(j.made)*j.Interval)) {
 			return
 		}
-		for number, step := range j.Steps {
-			s := &stage{job: j, occurrence: j.made, number: number, step: step, left: step.Count}
-			for i := range step.Count {
-				s.tasks = append(s.tasks, &task{stage: s, index: i})
-			}
-			j.stages = append(j.stages, s)
-			j.byKey[[2]int{j.made, number}] = s
+		j.makeNext()
+	}
+}
+
+// makeThrough creates the stages up to an occurrence that an earlier owner has begun, whose clock may have been ahead.
+func (a *Arranger) makeThrough(j *job, occurrence int) {
+	for j.made <= occurrence && j.made < max(1, j.Times) {
+		j.makeNext()
+	}
+}
+
+// makeNext creates the stages of the next occurrence.
+func (j *job) makeNext() {
+	for number, step := range j.Steps {
+		s := &stage{job: j, occurrence: j.made, number: number, step: step, left: step.Count}
+		for i := range step.Count {
+			s.tasks = append(s.tasks, &task{stage: s, index: i})
 		}
-		j.made++
+		j.stages = append(j.stages, s)
+		j.byKey[[2]int{j.made, number}] = s
 	}
+	j.made++
 }
 
 // readyStages marks the stages whose earlier steps are done.
--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -412,3 +412,30 @@
 		t.Fatalf("got %+v, want the task started again", o)
 	}
 }
+
+// The earlier owner's clock was ahead: it has begun an occurrence that is not due here yet.
+func TestAnOccurrenceBegunByAnEarlierOwnerIsKept(t *testing.T) {
+	timed := func() Job {
+		j := jobOf("timed", 2, single(1, 1))
+		j.Times, j.First, j.Interval = 2, start.Add(10*time.Second), time.Hour
+		return j
+	}
+	t.Run("its end is recorded", func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		b.AddJob(b.now, timed(), Progress{State: Running, Done: map[string]string{"0.0": "01"}}, true)
+		if o := b.pass(time.Minute); len(o.Starts) != 0 {
+			t.Fatalf("started again: %+v", o.Starts)
+		}
+		if got := b.Progress("timed").Done["0.0"]; got != "01" {
+			t.Fatalf("recorded anew as %q", got)
+		}
+	})
+	t.Run("its end is listed by a worker", func(t *testing.T) {
+		b := newBench(t, 1, 2)
+		b.AddJob(b.now, timed(), Progress{State: Running}, true)
+		b.end("w0-0", TaskName{Job: "timed"}, 7, EndedDone)
+		if o := b.pass(time.Minute); len(o.Starts) != 0 {
+			t.Fatalf("started again: %+v", o.Starts)
+		}
+	})
+}
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -4,6 +4,8 @@
 	"encoding/hex"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // Progress is what is recorded of a job, so that the next owner goes on from there.
@@ -22,6 +24,24 @@
 	Checkpoint string  `json:"checkpoint,omitempty"`
 }
 
+// lastOccurrence returns the highest occurrence of which something is recorded, or -1.
+func (p Progress) lastOccurrence() int {
+	last := -1
+	note := func(key string) {
+		number, _, _ := strings.Cut(key, ".")
+		if n, err := strconv.Atoi(number); err == nil {
+			last = max(last, n)
+		}
+	}
+	for key := range p.Done {
+		note(key)
+	}
+	for key := range p.Tasks {
+		note(key)
+	}
+	return last
+}
+
 // WithoutCheckpoints returns the progress with failed runs alone kept of tasks that are not done.
 func (p Progress) WithoutCheckpoints() Progress {
 	kept := map[string]TaskProgress{}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -321,6 +321,9 @@
 	if j == nil || j.byKey == nil {
 		return nil
 	}
+	if name.Occurrence >= j.made && j.early {
+		a.makeThrough(j, name.Occurrence)
+	}
 	s := j.byKey[[2]int{name.Occurrence, name.Step}]
 	if s == nil || name.Index >= len(s.tasks) {
 		return nil
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -65,6 +65,20 @@
 	t.wake()
 }
 
+// newerThan returns the rows that changed after the version.
+//
+// Earlier ones have been taken in, and some may be removed while the table is
+// read: a job taken in again without its progress would run again.
+func newerThan(rows []platform.Row, version int64) []platform.Row {
+	kept := rows[:0:0]
+	for _, row := range rows {
+		if row.Version > version {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
 // rereadJobs reads the whole table after its history was dropped.
 func (t *term) rereadJobs(ctx context.Context, from int64) int64 {
 	t.Logger.Info("history of jobs gone, reading anew", "from", from)
@@ -80,7 +94,7 @@
 		if oldest < 0 || page.Version < oldest {
 			oldest = page.Version
 		}
-		rows = append(rows, page.Rows...)
+		rows = append(rows, newerThan(page.Rows, from)...)
 	}
 	if t.awaitStrict(ctx) {
 		t.takeNewRows(rows)
