Say "not run" only of work that no entry placed without an owner

Cause: an entry without an owner starts urgent idempotent work on a worker by itself. When that run failed, the same submission went on to the next owner, which knew nothing of it: cancelled while it waited it was said not to have run, and refused it was a refusal of work that had been started. The same held for work that an owner ran without a record while the table was away.

Ruled out: a change of the owner alone, since restored idempotent work is said to be of unknown outcome already.

Change: an owner takes urgent idempotent work as work that may have run; an entry turns a refusal that follows such a start, or a try without an answer, into an unknown outcome.

--- a/owner/accept.go
+++ b/owner/accept.go
@@ -138,12 +138,12 @@
 		pending.admission = *o.admissionOf(known.Fingerprint, recorder.Open{Fingerprint: pending.fingerprint})
 	case err == nil:
 		pending.admission = Admission{Accepted: true}
-		o.take(record, traits, version, scheduler.JobSubmitted{Job: record.Job, Recorded: true})
+		o.take(record, traits, version)
 	case errors.Is(err, ErrKeyReused):
 		pending.admission = Admission{KeyReused: true}
 	case traits.idempotent && traits.urgent:
 		pending.admission = Admission{Unrecorded: true}
-		o.take(record, traits, 0, scheduler.JobSubmitted{Job: record.Job, Recorded: true})
+		o.take(record, traits, 0)
 	case errors.Is(err, storer.ErrUnavailable):
 		pending.admission = Admission{Reason: scheduler.Reason{Rule: scheduler.RuleStoreAway}, RetryAfter: retryAfterOutage}
 	default:
@@ -152,8 +152,11 @@
 }
 
 // take starts to track a job and tells the scheduler of it.
-func (o *Owner) take(record recorder.Open, traits classTraits, version int64, event scheduler.JobSubmitted) {
+//
+// An entry without an owner, or an owner without the table, may have run urgent
+// idempotent work before; no row tells of that.
+func (o *Owner) take(record recorder.Open, traits classTraits, version int64) {
 	o.counts.Accepted++
 	o.jobs[record.Job.ID] = newTracked(record, traits, version)
-	o.apply(event)
+	o.apply(scheduler.JobSubmitted{Job: record.Job, Recorded: true, MayHaveRun: traits.idempotent && traits.urgent})
 }
--- a/router/direct.go
+++ b/router/direct.go
@@ -26,7 +26,9 @@
 )
 
 // placeDirectly runs an urgent idempotent job on a worker with free accelerators, without an owner; the worker's own acceptance is the truth.
-func (r *Router) placeDirectly(ctx context.Context, record recorder.Open) (recorder.Answer, bool) {
+//
+// It returns the answer, or nil, and whether the job may have been started.
+func (r *Router) placeDirectly(ctx context.Context, record recorder.Open) (answer *recorder.Answer, started bool) {
 	attempt := dispatcher.Attempt{Job: record.Job.ID, Number: 1, Direct: r.options.Entry + "/" + r.options.Incarnation}
 	for _, vm := range r.shuffledWorkers() {
 		if !r.reserveDirectly(ctx, vm, attempt, record) {
@@ -34,13 +36,13 @@
 		}
 		status, ok := r.awaitDirect(ctx, vm, attempt)
 		if !ok {
-			return recorder.Answer{}, false
+			return nil, true
 		}
 		r.forgetDirect(ctx, vm, attempt)
-		answer := directAnswer(record, vm, status)
-		return r.recordDirect(ctx, answer), true
+		recorded := r.recordDirect(ctx, directAnswer(record, vm, status))
+		return &recorded, true
 	}
-	return recorder.Answer{}, false
+	return nil, false
 }
 
 // shuffledWorkers returns some workers of the last list in random order.
--- a/router/submit.go
+++ b/router/submit.go
@@ -34,19 +34,25 @@
 		return refusedFor(scheduler.RuleDocumentUnsure), nil
 	}
 	began := time.Now()
-	sent := false
+	sent, mayHaveRun := false, false
 	for {
 		admission, err := r.submitOnce(ctx, record)
 		if err == nil && !admission.Unknown {
-			return Submission{Admission: admission}, nil
+			return Submission{Admission: certain(admission, mayHaveRun)}, nil
 		}
 		if err == nil || errors.Is(err, messenger.ErrNoAnswer) {
 			sent = true
+			mayHaveRun = mayHaveRun || r.mayRunUnrecorded(record.Job)
 		}
 		if time.Since(began) >= directAfter && r.mayPlaceDirectly(record.Job) {
-			if answer, ok := r.placeDirectly(ctx, record); ok {
-				return Submission{Admission: owner.Admission{Unrecorded: true}, Answer: &answer}, nil
+			answer, started := r.placeDirectly(ctx, record)
+			if answer != nil {
+				return Submission{Admission: owner.Admission{Unrecorded: true}, Answer: answer}, nil
 			}
+			mayHaveRun = mayHaveRun || started
+		}
+		if ctx.Err() != nil && mayHaveRun {
+			return Submission{Admission: owner.Admission{Unknown: true}}, nil
 		}
 		if ctx.Err() != nil {
 			return r.giveUp(record, sent), nil
@@ -55,6 +61,14 @@
 	}
 }
 
+// certain turns a refusal into an unknown outcome if an earlier try may have run without a record.
+func certain(a owner.Admission, mayHaveRun bool) owner.Admission {
+	if mayHaveRun && !a.Accepted && !a.Unrecorded && !a.KeyReused {
+		return owner.Admission{Unknown: true}
+	}
+	return a
+}
+
 func refusedFor(rule scheduler.Rule) Submission {
 	return Submission{Admission: owner.Admission{Reason: scheduler.Reason{Rule: rule}, RetryAfter: callTimeout}}
 }
