Read the state at a takeover in parallel

Cause: a new owner read progress, workers and the eight parts of the job table one after another.

Ruled out: the size of the answers (38 jobs).

Change: all readings go out at the same time; reading the job table anew after its history was dropped shares the code.

--- a/director/director_test.go
+++ b/director/director_test.go
@@ -108,13 +108,7 @@
 		if s.owner() == first {
 			t.Fatal("nobody took the lease over")
 		}
-		var other *entry
-		for _, e := range s.entries {
-			if e != first {
-				other = e
-			}
-		}
-		s.await(other, jobA, "succeeded", 6*time.Second)
+		s.await(s.other(first), jobA, "succeeded", 6*time.Second)
 		if got := s.fleet.Starts(jobA); got != 2 {
 			t.Errorf("%d starts, want the gang's two", got)
 		}
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -167,3 +167,14 @@
 	}
 	s.t.Fatalf("job %s shows %s, want %s after %s", id, body, state, patience)
 }
+
+// other returns an entry that is not the given one.
+func (s *service) other(than *entry) *entry {
+	for _, e := range s.entries {
+		if e != than {
+			return e
+		}
+	}
+	s.t.Fatal("there is no other entry")
+	return nil
+}
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -82,22 +82,14 @@
 // rereadJobs reads the whole table after its history was dropped.
 func (t *term) rereadJobs(ctx context.Context, from int64) int64 {
 	t.Logger.Info("history of jobs gone, reading anew", "from", from)
-	oldest := int64(-1)
-	var rows []platform.Row
-	for _, part := range registrar.Parts() {
-		page, err := t.Store.Range(ctx, registrar.JobTable, part, "", "")
-		if err != nil {
-			t.Logger.Warn("jobs not read anew", "error", err.Error())
-			sleeper.Sleep(ctx, loadPause)
-			return from
-		}
-		if oldest < 0 || page.Version < oldest {
-			oldest = page.Version
-		}
-		rows = append(rows, newerThan(page.Rows, from)...)
+	read, err := t.readJobs(ctx)
+	if err != nil {
+		t.Logger.Warn("jobs not read anew", "error", err.Error())
+		sleeper.Sleep(ctx, loadPause)
+		return from
 	}
 	if t.awaitStrict(ctx) {
-		t.takeNewRows(rows)
+		t.takeNewRows(newerThan(read.rows, from))
 	}
-	return oldest
+	return read.from
 }
--- /dev/null
+++ b/director/load_test.go
@@ -0,0 +1,25 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/faker"
+)
+
+// A store that answers 60 times as slowly as usual must not hold up a new owner for longer than a few answers.
+func TestANewOwnerBeginsSoonOnASlowStore(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		const answer = 300 * time.Millisecond
+		s.store.SetFaults(faker.RowFaults{Delay: answer})
+		time.Sleep(time.Second)
+		first := s.owner()
+		first.stop()
+		<-first.done
+		// The next owner looks at the lease, takes it, reads the state and asks the workers; it records what runs before that is shown.
+		const answers, pause = 6, 600 * time.Millisecond
+		other := s.other(first)
+		s.submit(other, jobA, faker.TaskJob{Duration: 10 * time.Second, Accelerators: 1}, 1)
+		s.await(other, jobA, "running", answers*answer+pause)
+	})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -26,8 +26,6 @@
 	planPause = 3 * time.Millisecond
 	// planInterval is the longest time between two plans.
 	planInterval = 150 * time.Millisecond
-	// loadPause is the time between tries to load the state.
-	loadPause = 150 * time.Millisecond
 )
 
 // term is one time as owner.
@@ -114,68 +112,6 @@
 // mayAct reports whether orders may be given: the lease was renewed not too long ago.
 func (t *term) mayAct() bool { return t.now()-t.writer.renewedAt() < actLimit }
 
-// load reads all jobs and what is recorded of them, and returns the version from which to follow.
-func (t *term) load(ctx context.Context) (int64, bool) {
-	for ctx.Err() == nil {
-		from, err := t.loadOnce(ctx)
-		if err == nil {
-			return from, true
-		}
-		t.Logger.Warn("state not loaded", "error", err.Error())
-		sleeper.Sleep(ctx, loadPause)
-	}
-	return 0, false
-}
-
-func (t *term) loadOnce(ctx context.Context) (int64, error) {
-	progress, err := t.Store.Range(ctx, registrar.ProgressTable, registrar.OwnerPart, "", "")
-	if err != nil {
-		return 0, err
-	}
-	known, err := t.Store.Get(ctx, registrar.FleetTable, registrar.OwnerPart, registrar.WorkersKey)
-	if err != nil {
-		return 0, err
-	}
-	listed, err := t.Store.Range(ctx, platform.WorkerTable, "", "", "")
-	if err != nil {
-		return 0, err
-	}
-	from := int64(-1)
-	var rows []platform.Row
-	for _, part := range registrar.Parts() {
-		page, err := t.Store.Range(ctx, registrar.JobTable, part, "", "")
-		if err != nil {
-			return 0, err
-		}
-		if from < 0 || page.Version < from {
-			from = page.Version
-		}
-		rows = append(rows, page.Rows...)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.takeConfig()
-	recorded := map[string]registrar.Progress{}
-	for _, row := range progress.Rows {
-		p, err := registrar.Decode[registrar.Progress](row)
-		if err != nil {
-			t.Logger.Error("progress unreadable", "job", row.Key, "error", err.Error())
-			continue
-		}
-		recorded[row.Key] = p
-	}
-	t.expectWorkers(known, listed.Rows)
-	t.takeJobRows(rows, recorded)
-	for id, p := range recorded {
-		if p.EndedMillis > 0 && !t.arranger.Knows(id) {
-			// An earlier owner removed the job's row and ended before it removed this one.
-			t.writer.remove([]string{id})
-		}
-	}
-	t.Logger.Info("state loaded", "epoch", t.lease.Epoch, "jobs", len(rows), "progress", len(recorded), "from", from, "workers", len(listed.Rows))
-	return from, nil
-}
-
 // expectWorkers lists the workers that an earlier owner may have given orders to.
 func (t *term) expectWorkers(known platform.Row, listed []platform.Row) {
 	lapsed := time.Now().Add(t.lastLease())
