Take over from a silent owner after 1.1 s

Ruled out: flapping on a slow store.

Change: an owner renews after 250 ms instead of 450, a lease is taken after 1.1 s of silence instead of 1.6, an owner counts itself sure for 0.8 s instead of 1.3, and a lease that was not renewed for 0.5 s is looked at each 100 ms. The test of the lease's times follows the new constants, with looks closer to the limit than before.

--- a/director/director.go
+++ b/director/director.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// watchPause is the time between two looks at the lease.
+	// watchPause is the mean time between two looks at a lease that is renewed.
 	watchPause = 400 * time.Millisecond
+	// watchSoon is the time between two looks at a lease that has not been renewed for longer than renewals take.
+	watchSoon = 100 * time.Millisecond
 	// watchGap is the time between two answered looks after which the wait for a silent owner begins anew, since the owner may have been kept from the store as well.
-	watchGap = 1300 * time.Millisecond
-	// leaseSilence is how long a lease must stay unchanged before another takes it.
-	leaseSilence = 1600 * time.Millisecond
+	watchGap = 900 * time.Millisecond
+	// leaseSilence is how long a lease must stay unchanged before another takes it; a store that is 60 times as slow as usual shows renewals within 0.9 s.
+	leaseSilence = 1100 * time.Millisecond
 	// smallCores is the processor share below which a VM leaves the lease to larger ones.
 	smallCores = 0.4
 	// smallPatience is how much longer a small VM waits; two looks of a larger one fit in.
@@ -27,7 +29,7 @@
 	// actLimit is how long an owner goes on without a renewal, so that an outage of the store does not stop the service.
 	actLimit = 6 * time.Second
 	// strictLimit is the age of a renewal at which nobody else can hold the lease yet.
-	strictLimit = 1300 * time.Millisecond
+	strictLimit = 800 * time.Millisecond
 )
 
 // Director takes part in the choice of the owner and is the owner while it holds the lease.
@@ -65,8 +67,7 @@
 				continue
 			}
 		}
-		pause := watchPause/2 + time.Duration(rand.Int64N(int64(watchPause))) //nolint:gosec // Jitter needs no secrecy.
-		sleeper.Sleep(ctx, pause)
+		sleeper.Sleep(ctx, w.pause(now, rand.Float64())) //nolint:gosec // Jitter needs no secrecy.
 	}
 }
 
@@ -101,6 +102,14 @@
 	return lease.Node == node || quiet >= leaseSilence+w.patience
 }
 
+// pause returns the time to the next look, given a random number from 0 to 1.
+func (w *leaseWatch) pause(now time.Duration, random float64) time.Duration {
+	if now-w.unchanged > 2*renewInterval {
+		return watchSoon
+	}
+	return time.Duration((0.5 + random) * float64(watchPause))
+}
+
 // reign takes the lease and is the owner until it loses it; it reports whether it was.
 func (d *Director) reign(ctx context.Context, row platform.Row, old registrar.Lease) bool {
 	taken := d.now()
--- a/director/lease_test.go
+++ b/director/lease_test.go
@@ -27,20 +27,23 @@
 		{"an earlier process of this VM has it", []look{{at: time.Second, version: 3, lease: registrar.Lease{Node: "self"}, want: true}}},
 		{"it is renewed", []look{
 			{at: 1000 * time.Millisecond, version: 3, lease: other},
-			{at: 2000 * time.Millisecond, version: 4, lease: other},
-			{at: 3000 * time.Millisecond, version: 5, lease: other},
+			{at: 1800 * time.Millisecond, version: 4, lease: other},
+			{at: 2600 * time.Millisecond, version: 5, lease: other},
+			{at: 3400 * time.Millisecond, version: 6, lease: other},
 		}},
 		{"it is silent", []look{
 			{at: 1000 * time.Millisecond, version: 3, lease: other},
-			{at: 2000 * time.Millisecond, version: 3, lease: other},
-			{at: 2700 * time.Millisecond, version: 3, lease: other, want: true},
+			{at: 1800 * time.Millisecond, version: 3, lease: other},
+			{at: 2090 * time.Millisecond, version: 3, lease: other},
+			{at: 2100 * time.Millisecond, version: 3, lease: other, want: true},
 		}},
 		// The store was away for everybody, so that the owner could not renew either.
 		{"the store was away", []look{
 			{at: 1000 * time.Millisecond, version: 3, lease: other},
 			{at: 6000 * time.Millisecond, version: 3, lease: other},
-			{at: 7000 * time.Millisecond, version: 3, lease: other},
-			{at: 7700 * time.Millisecond, version: 3, lease: other, want: true},
+			{at: 6800 * time.Millisecond, version: 3, lease: other},
+			{at: 7090 * time.Millisecond, version: 3, lease: other},
+			{at: 7100 * time.Millisecond, version: 3, lease: other, want: true},
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -78,3 +81,22 @@
 		})
 	}
 }
+
+func TestASilentLeaseIsLookedAtOften(t *testing.T) {
+	w := leaseWatch{}
+	w.mayTake(time.Second, platform.Row{Version: 3}, registrar.Lease{Node: "other"}, "self")
+	if got := w.pause(time.Second+renewInterval, 0.5); got != watchPause {
+		t.Errorf("%s to the next look at a lease that is renewed, want %s", got, watchPause)
+	}
+	if got := w.pause(time.Second+3*renewInterval, 0.5); got != watchSoon {
+		t.Errorf("%s to the next look at a silent lease, want %s", got, watchSoon)
+	}
+}
+
+// An owner must know that it is still the owner before another may believe that it is not.
+func TestAnOwnerIsSureOnlyWhileNobodyMayTakeItsLease(t *testing.T) {
+	const clockError = 1.02
+	if float64(strictLimit)*clockError >= float64(leaseSilence) {
+		t.Errorf("an owner is sure for %s, its lease is taken after %s", strictLimit, leaseSilence)
+	}
+}
--- a/director/writer.go
+++ b/director/writer.go
@@ -15,7 +15,7 @@
 
 const (
 	// renewInterval is the longest time between two writes of an owner.
-	renewInterval = 450 * time.Millisecond
+	renewInterval = 250 * time.Millisecond
 	// writePause lets several changes be recorded together.
 	writePause = 4 * time.Millisecond
 	// writeRetry is the time before a write is repeated that the store turned away.
