Do not wait for workers that left empty

The list of workers that an owner may have given orders to kept them until their leases had lapsed.

Ruled out: workers cut off, which must be waited for.

Change: a worker that drains, lists no run, has all its ends recorded and has no order under way is left out of the recorded list; it comes back with its state. In turn a new owner waits for all listed workers, also for one that came so late that it was not recorded yet: it may have been given orders, and the job would have run twice.

--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -138,3 +138,9 @@
 	}
 	return Worker{}, false
 }
+
+// Occupied reports whether the worker has a run, may have one, or has room claimed.
+func (a *Arranger) Occupied(id string) bool {
+	w := a.workers[id]
+	return w != nil && (len(w.places) > 0 || len(w.strangers) > 0)
+}
--- a/director/fleet.go
+++ b/director/fleet.go
@@ -79,6 +79,9 @@
 func (t *term) listWorkers() {
 	workers := make([]registrar.KnownWorker, 0, len(t.sessions))
 	for _, s := range t.sessions {
+		if s.vacant {
+			continue
+		}
 		workers = append(workers, registrar.KnownWorker{ID: s.worker.ID, Address: s.worker.Address, Born: s.worker.Born})
 	}
 	slices.SortFunc(workers, func(x, y registrar.KnownWorker) int { return cmp.Compare(x.ID, y.ID) })
--- a/director/session.go
+++ b/director/session.go
@@ -40,7 +40,9 @@
 	ends, recorded int64
 	count          uint64
 	// listed tells that the platform's list names the worker.
-	listed   bool
+	listed bool
+	// vacant tells that the worker leaves, runs nothing and will be given nothing, so that no successor has to ask it.
+	vacant   bool
 	failures int
 }
 
@@ -48,6 +50,7 @@
 func (t *term) openSession(info arranger.Worker) {
 	if s := t.sessions[info.ID]; s != nil {
 		s.worker.Draining = info.Draining
+		s.setVacant(s.vacant && info.Draining)
 		if s.worker.Born == info.Born || info.Born == 0 || s.worker.Born == 0 {
 			return
 		}
@@ -178,12 +181,23 @@
 		s.count = t.writer.change(t.arranger.TakeDirty())
 		t.writer.signal()
 	}
+	s.setVacant(s.worker.Draining && len(held.Running) == 0 && s.recorded == s.ends && !t.arranger.Occupied(s.worker.ID))
 	if t.arranger.WantsPlan() {
 		t.wake()
 	}
 	return s.recorded < s.ends
 }
 
+// setVacant notes whether a successor has to ask the worker; the term's lock is held.
+func (s *session) setVacant(vacant bool) {
+	if s.vacant == vacant {
+		return
+	}
+	s.vacant = vacant
+	s.term.Logger.Info("worker is leaving", "worker", s.worker.ID, "vacant", vacant)
+	s.term.listWorkers()
+}
+
 func howOf(how platform.HowEnded) arranger.How {
 	switch how {
 	case platform.EndedDone:
--- a/director/term.go
+++ b/director/term.go
@@ -121,11 +121,14 @@
 			t.Logger.Error("list of workers unreadable", "error", err.Error())
 		}
 		for _, w := range workers {
-			t.arranger.ExpectReport(w.ID, lapsed)
 			t.openSession(arranger.Worker{ID: w.ID, Address: w.Address, Born: w.Born, Draining: true})
 		}
 	}
 	t.takeWorkerRows(listed)
+	for id := range t.sessions {
+		// A worker that came last may have been given orders before it was recorded.
+		t.arranger.ExpectReport(id, lapsed)
+	}
 }
 
 // lastLease returns how long after the start of this term a lease of an earlier owner may still run.
