Keep accelerators for gangs that wait

While over half of the fleet is in use 30% is kept free for urgent work; a gang needs its whole width beyond that at once, and single tasks of later priorities took each accelerator that became free first.

Ruled out: room in a rack, which was there when the totals allowed it.

Change: a gang that finds no room, can still be of use and fits an empty fleet keeps its accelerators, up to a quarter of the fleet, from all that is placed after it. Work that has to start within 4 s to be in time is not held back. The reserve moves to a file of its own.

--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -23,6 +23,8 @@
 	racks    []string
 	// accelerators is the sum over the fleet, free what is neither occupied nor claimed of them.
 	accelerators, free int
+	// owed are the accelerators that waiting gangs need which go before the units still to be placed.
+	owed int
 	// refused remembers needs that found no room in this pass.
 	refused map[refusedKey]bool
 }
@@ -82,6 +84,7 @@
 	if u.stage.step.Gang {
 		if !s.placeTogether(u, u.stage.tasks) {
 			s.refused[key] = true
+			s.oweGang(u)
 		}
 		return
 	}
@@ -114,18 +117,6 @@
 	return true
 }
 
-// keepsFree reports whether the tasks would take accelerators that are kept free for urgent work, which then need not wait until others have stopped.
-func (s *survey) keepsFree(u unit, tasks []*task) bool {
-	need := len(tasks) * u.stage.step.Need.Accelerators
-	if u.rank <= rankUrgent || need == 0 || 2*s.free >= s.accelerators {
-		return false
-	}
-	return float64(s.free-need) < reserveShare*float64(s.accelerators)
-}
-
-// reserveShare is the part of the accelerators that is kept free for urgent work while more than half of the fleet is in use.
-const reserveShare = 0.3
-
 // mayDisplace reports whether the unit may stop the work of others.
 func (s *survey) mayDisplace(u unit) bool { return u.rank <= rankUrgent }
 
@@ -150,18 +141,31 @@
 
 // rackHolds reports whether any rack could hold the gang if it were empty.
 func (a *Arranger) rackHolds(s *stage, count int) bool {
+	for _, holds := range a.emptyRacksHold(s) {
+		if holds >= count {
+			return true
+		}
+	}
+	return false
+}
+
+// fleetHolds reports whether the fleet could hold the gang if it were empty.
+func (a *Arranger) fleetHolds(s *stage, count int) bool {
+	for _, holds := range a.emptyRacksHold(s) {
+		count -= holds
+	}
+	return count <= 0
+}
+
+// emptyRacksHold returns how many tasks of the stage each rack could hold if it were empty.
+func (a *Arranger) emptyRacksHold(s *stage) map[string]int {
 	room := map[string]int{}
 	for _, w := range a.order {
 		if w.Service == s.job.Policy.Service && w.has(s.step.Requires) && !w.Draining {
 			room[w.Rack] += w.Capacity.Holds(s.step.Need)
 		}
 	}
-	for _, holds := range room {
-		if holds >= count {
-			return true
-		}
-	}
-	return false
+	return room
 }
 
 // trial is the state of one packing while it is made.
