Fill racks from two ends

Urgent and other work were packed onto the same workers, so that what the shorter urgent work left was filled with single tasks everywhere.

Ruled out: the reserve's size (a trial of clearing room ahead threw away a third more work for nothing).

Change: urgent work prefers the last racks, other work the first, before the fullest worker in them.

--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -20,7 +20,9 @@
 	slots    []*slot
 	byWorker map[*worker]*slot
 	ranks    map[*job]rank
-	racks    []string
+	// racks are in a fixed order, rackNumbers their positions in it.
+	racks       []string
+	rackNumbers map[string]int
 	// accelerators is the sum over the fleet, free what is neither occupied nor claimed of them.
 	accelerators, free int
 	// owed are the accelerators that waiting gangs need which go before the units still to be placed.
@@ -56,6 +58,7 @@
 			s.racks = append(s.racks, w.Rack)
 		}
 	}
+	s.numberRacks()
 	return s
 }
 
@@ -234,7 +237,7 @@
 		return choice{}, false
 	}
 	room := t.roomOf(sl)
-	c := choice{slot: sl, lost: t.delay(task, w), distance: distance(task, room)}
+	c := choice{slot: sl, lost: t.delay(task, w), distance: distance(task, room) + t.survey.rackDistance(t.unit, w.Rack)}
 	if suspect {
 		c.distance += suspectDistance
 	}
