Tell a lease taken without an answer from that of a process that ended

Cause: a process whose lease was written while the answer got lost found its own name in the row at its next look and took it for that of its predecessor on the VM. It then bounded the jobs that an earlier owner may have started by its own first look, so that running work was started again, and waited too short a time for silent workers.

Change: a predecessor is an earlier incarnation on this VM; a lease of this incarnation tells nothing of the owner before.

Measured: the new test failed before (gang of two started four times, one while it ran) and passes.

--- a/director/director.go
+++ b/director/director.go
@@ -65,7 +65,7 @@
 				sleeper.Sleep(ctx, configPause)
 				continue
 			}
-			if d.reign(ctx, seen, w.bound(seen, d.Node)) {
+			if d.reign(ctx, seen, w.bound(seen, d.isPredecessor(seen.lease))) {
 				w = leaseWatch{patience: d.patience()}
 				continue
 			}
@@ -95,6 +95,13 @@
 	return seen
 }
 
+// isPredecessor reports whether the lease is that of an earlier process of this VM, which has ended.
+//
+// A lease of this process itself was taken without an answer and tells nothing of the owner before.
+func (d *Director) isPredecessor(lease registrar.Lease) bool {
+	return lease.Node == d.Node && lease.Incarnation != d.Incarnation
+}
+
 // patience returns how much longer than others this VM waits for the lease.
 func (d *Director) patience() time.Duration {
 	if d.Cores > 0 && d.Cores < smallCores {
@@ -133,12 +140,12 @@
 }
 
 // bound returns the version of the store up to which the holder of the lease may have read jobs, or 0 if only taking the lease ends that.
-func (w *leaseWatch) bound(seen leaseSeen, node string) int64 {
+func (w *leaseWatch) bound(seen leaseSeen, predecessor bool) int64 {
 	switch {
 	case seen.lease.Released:
 		return seen.row.Version
-	case seen.row.Version != 0 && seen.lease.Node == node:
-		// The holder was an earlier process of this VM and had ended before the first look.
+	case predecessor:
+		// It had ended before the first look.
 		return w.firstSeen
 	default:
 		return 0
@@ -174,7 +181,7 @@
 	if early != 0 {
 		t.early = early
 	}
-	t.succeedsItself = old.Node == d.Node
+	t.succeedsItself = d.isPredecessor(old)
 	t.run(ctx)
 	return true
 }
--- a/director/lease_test.go
+++ b/director/lease_test.go
@@ -106,19 +106,21 @@
 }
 
 func TestJobsThatAnEarlierOwnerCannotHaveReadAreTold(t *testing.T) {
+	d := Director{Node: "self", Incarnation: "second"}
 	for _, test := range []struct {
 		name  string
 		lease registrar.Lease
 		want  int64
 	}{
 		{"released at version 7", registrar.Lease{Node: "other", Released: true}, 7},
-		{"held by an earlier process of this VM", registrar.Lease{Node: "self"}, 90},
+		{"held by an earlier process of this VM", registrar.Lease{Node: "self", Incarnation: "first"}, 90},
+		{"taken by this process without an answer", registrar.Lease{Node: "self", Incarnation: "second"}, 0},
 		{"silent", registrar.Lease{Node: "other"}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			w := leaseWatch{}
 			w.mayTake(time.Second, leaseSeen{row: platform.Row{Version: 7}, lease: test.lease, at: 90}, "self")
-			if got := w.bound(seenAt(7, test.lease), "self"); got != test.want {
+			if got := w.bound(seenAt(7, test.lease), d.isPredecessor(test.lease)); got != test.want {
 				t.Fatalf("got %d, want %d", got, test.want)
 			}
 		})
--- a/director/load_test.go
+++ b/director/load_test.go
@@ -43,3 +43,21 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// The next owner's lease is written but not confirmed, so that it finds its own name there at its next look.
+func TestALeaseTakenWithoutAnAnswerDoesNotHideTheOwnerBefore(t *testing.T) {
+	run(t, 2, 4, func(s *service) {
+		first := s.owner()
+		s.submit(first, jobA, faker.TaskJob{Duration: 8 * time.Second, Gang: 2, Accelerators: 8}, 2)
+		s.await(first, jobA, "running", time.Second)
+		s.board.Cut(first.name, true)
+		s.store.SetFaults(faker.RowFaults{LoseReplies: 1})
+		other := s.other(first)
+		s.await(other, jobA, "succeeded", 20*time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want the gang's two", got)
+		}
+		s.board.Cut(first.name, false)
+		time.Sleep(time.Second)
+	})
+}
