Take in the ends of workers that are not listed

Cause: a new owner asked the workers that the one before had used, but those that the platform's list no longer named were not part of its fleet: their reports were dropped while the ends in them counted as recorded, and the worker forgot them. The tasks ran again.

Ruled out: the store's writes, which were conditional throughout.

Change: a known worker joins the fleet without room for new work; a report of a worker outside the fleet is logged and acknowledges nothing.

--- a/director/load_test.go
+++ b/director/load_test.go
@@ -61,3 +61,26 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// The platform drops entries of workers whose heartbeats it does not get; the workers run on, and their ends must not be lost.
+func TestEndsOnWorkersThatAreNotListedAreTakenIn(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		first := s.owner()
+		s.submit(first, jobA, faker.TaskJob{Duration: 2500 * time.Millisecond, Accelerators: 8}, 2)
+		s.await(first, jobA, "running", time.Second)
+		for _, w := range s.workers {
+			s.store.Remove("servers", w.ID)
+		}
+		s.board.Cut(first.name, true)
+		s.await(s.other(first), jobA, "succeeded", 4*time.Second)
+		for i := range s.workers {
+			s.list(i)
+		}
+		time.Sleep(15 * time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want each task once", got)
+		}
+		s.board.Cut(first.name, false)
+		time.Sleep(time.Second)
+	})
+}
--- a/director/session.go
+++ b/director/session.go
@@ -157,6 +157,11 @@
 		t.closeSession(s, "another life answers")
 		return false
 	}
+	if _, known := t.arranger.Worker(s.worker.ID); !known {
+		// Ends that nobody takes in must not be forgotten by the worker.
+		t.Logger.Error("report of a worker that is not part of the fleet", "worker", s.worker.ID, "ends", len(held.Ended))
+		return false
+	}
 	if held.Born != 0 {
 		s.worker.Born = held.Born
 	}
--- a/director/term.go
+++ b/director/term.go
@@ -121,7 +121,10 @@
 			t.Logger.Error("list of workers unreadable", "error", err.Error())
 		}
 		for _, w := range workers {
-			t.openSession(arranger.Worker{ID: w.ID, Address: w.Address, Born: w.Born, Draining: true})
+			// One that is no longer listed gets no new work, but what it runs and has ended counts.
+			info := arranger.Worker{ID: w.ID, Address: w.Address, Born: w.Born, Draining: true}
+			t.openSession(info)
+			t.arranger.SetWorker(info)
 		}
 	}
 	t.takeWorkerRows(listed)
