Bring calls to the store through a peer while it does not serve this VM

Change: package relayer, a transport for calls to the store. A call that surely did nothing, or that only reads, goes a second way through a peer; while the store does not serve this VM calls go to a peer first, and the store is asked every 0.4 s whether it does again. A write without an answer is never sent a second way. Peers find each other by rows of their own in the store; they take calls on the second free port. No other program is needed.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -16,12 +16,16 @@
 	"github.com/snipelift/snipelift/director"
 	"github.com/snipelift/snipelift/follower"
 	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+	"github.com/snipelift/snipelift/relayer"
 	"github.com/snipelift/snipelift/sleeper"
 )
 
 const (
 	// storeTimeout bounds one call to the store; a slow store takes over half a second.
 	storeTimeout = 1200 * time.Millisecond
+	// checkTimeout bounds one look whether the store serves this VM again.
+	checkTimeout = 400 * time.Millisecond
 	// workerTimeout bounds one order to a worker.
 	workerTimeout = 900 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeaderBytes bound what clients may keep open before the configuration is known.
@@ -45,6 +49,7 @@
 
 	draining atomic.Bool
 	store    *platform.Store
+	relay    *relayer.Relayer
 	config   *follower.Follower
 	accept   *acceptor.Acceptor
 }
@@ -54,7 +59,14 @@
 	client, closeClient := platform.NewHTTPClient()
 	defer closeClient()
 	metrics := newMetrics()
-	store := &platform.Store{Client: client, Address: h.Settings.StoreAddress, Timeout: storeTimeout, Observe: metrics.observeStore}
+	direct := &platform.Store{Client: client, Address: h.Settings.StoreAddress, Timeout: checkTimeout}
+	h.relay = &relayer.Relayer{Store: h.Settings.StoreAddress, Direct: client.Transport, Logger: h.Logger, Check: func(ctx context.Context) error {
+		_, err := direct.Get(ctx, registrar.LeaseTable, registrar.OwnerPart, registrar.LeaseKey)
+		return err
+	}}
+	stopRelay := h.relay.Start()
+	defer stopRelay()
+	store := &platform.Store{Client: &http.Client{Transport: h.relay}, Address: h.Settings.StoreAddress, Timeout: storeTimeout, Observe: metrics.observeStore}
 	h.store = store
 	h.config = &follower.Follower{Store: store, Logger: h.Logger}
 	h.accept = acceptor.New(store, h.config, h.Logger)
@@ -67,6 +79,7 @@
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() { h.config.Run(follow) })
 	group.Go(func() { h.direct(ctx, store, client) })
+	group.Go(func() { h.followPeers(ctx) })
 	h.serveReloads(ctx)
 	h.drain(servers)
 	stopFollowing()
@@ -105,6 +118,7 @@
 		{h.Settings.FrontAddress, m.timed(h.accept)},
 		{h.Settings.ReadyAddress, http.HandlerFunc(h.serveReady)},
 		{h.Settings.MetricsAddress, m},
+		{h.Settings.LinkAddress, h.relay},
 	}
 	var servers []*http.Server
 	for _, entry := range handlers {
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -19,6 +19,10 @@
 	LeaseTable = "lease"
 	// FleetTable holds the workers that an owner has given orders to, and the numbers of waiting jobs.
 	FleetTable = "fleet"
+	// EntryTable holds the entry VMs with the addresses at which they take their peers' calls.
+	EntryTable = "entries"
+	// EntryPart is the part of the rows of entry VMs.
+	EntryPart = "entries"
 	// OwnerPart is the part of all rows that only the owner writes.
 	OwnerPart = "owner"
 	// LeaseKey names the row of the lease.
@@ -109,6 +113,19 @@
 	Born    int64  `json:"born"`
 }
 
+// Entry is an entry VM, as it describes itself from time to time.
+type Entry struct {
+	// Link is the address at which it takes calls of its peers.
+	Link string `json:"link"`
+	// SeenMillis is the Unix time of the description.
+	SeenMillis int64 `json:"seenMillis"`
+}
+
+// EntryRow returns the row of an entry VM.
+func EntryRow(node string) platform.Row {
+	return platform.Row{Table: EntryTable, Part: EntryPart, Key: node}
+}
+
 // Encode returns the value of a row.
 func Encode(record any) []byte {
 	data, err := json.Marshal(record)
