Ask the advice service before tasks of its queues start

Cause: a queue may let only some workers run a step, and only the advice service knows which. Starts without its ticket are refused, so that jobs of such a queue never ran, and were refused again three times a second.

Change: the core asks about 30 workers at a time, those with the most room first, keeps which are allowed and for how long, renews tickets only for work that waits, and forgets them with a worker's life; the director puts one question at a time; the stand-ins issue and check tickets.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -211,7 +211,7 @@
 
 // PolicyOf returns the rules that a queue sets for its jobs.
 func PolicyOf(q platform.Queue) arranger.Policy {
-	return arranger.Policy{Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Objective: q.Objective}
+	return arranger.Policy{Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Objective: q.Objective, Advised: q.Advice != nil}
 }
 
 // errNoJob means that no job was accepted under the ID for this organisation.
--- /dev/null
+++ b/arranger/advice.go
@@ -0,0 +1,162 @@
+package arranger
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// adviceWidth is the number of workers in one question; each one lengthens the answer.
+	adviceWidth = 30
+	// advicePause is the time before a question is asked again that was not answered.
+	advicePause = 300 * time.Millisecond
+	// ticketMargin is the part of a ticket's life that is kept for the way of a start to its worker.
+	ticketMargin = 200 * time.Millisecond
+)
+
+// Question asks the advice service which of the workers may run the tasks of a step.
+type Question struct {
+	// Step is named ID.OCCURRENCE.STEP.
+	Step    string
+	Workers []string
+}
+
+// Advice is the answer to a question: tickets of the workers that may run the step, by ID.
+type Advice struct {
+	Question Question
+	Tickets  map[string]string
+	Until    time.Time
+}
+
+// ticket allows one life of a worker to run a step.
+type ticket struct {
+	born  int64
+	value string
+	until time.Time
+}
+
+// advice is what is known of the workers that may run a stage; which these are does not change.
+type advice struct {
+	// heard holds the lives of the workers that were asked about.
+	heard   map[string]int64
+	tickets map[string]ticket
+	// asking tells that a question is under way, again when one that failed is repeated.
+	asking bool
+	again  time.Time
+}
+
+// ticketFor returns the ticket for a worker, or false if it has none that holds long enough.
+func (s *stage) ticketFor(w *worker, now time.Time) (string, bool) {
+	if s.advice == nil {
+		return "", false
+	}
+	t, ok := s.advice.tickets[w.ID]
+	return t.value, ok && t.born == w.Born && now.Add(ticketMargin).Before(t.until)
+}
+
+// mayRunOn reports whether the queue's policy allows the worker, as far as is known.
+func (s *stage) mayRunOn(w *worker, now time.Time) bool {
+	if !s.job.Policy.Advised {
+		return true
+	}
+	_, ok := s.ticketFor(w, now)
+	return ok
+}
+
+// stepName names the stage in questions.
+func (s *stage) stepName() string {
+	return s.job.ID + "." + strconv.Itoa(s.occurrence) + "." + strconv.Itoa(s.number)
+}
+
+// askAdvice asks about workers for the stages that still wait after a plan.
+func (a *Arranger) askAdvice(now time.Time, units []unit) {
+	for _, u := range units {
+		s := u.stage
+		if !s.job.Policy.Advised || !s.waits() {
+			continue
+		}
+		if s.advice == nil {
+			s.advice = &advice{heard: map[string]int64{}, tickets: map[string]ticket{}}
+		}
+		if s.advice.asking || now.Before(s.advice.again) {
+			continue
+		}
+		if workers := a.unadvised(now, s); len(workers) > 0 {
+			s.advice.asking = true
+			a.orders.Questions = append(a.orders.Questions, Question{Step: s.stepName(), Workers: workers})
+		}
+	}
+}
+
+// unadvised returns the workers to ask about next: those with the most room first, among those not asked about and those whose tickets have run out.
+func (a *Arranger) unadvised(now time.Time, s *stage) []string {
+	var workers []*worker
+	for _, w := range a.order {
+		if w.Service != s.job.Policy.Service || !w.has(s.step.Requires) || !w.Capacity.Covers(s.step.Need) || !w.takes(now) {
+			continue
+		}
+		born, heard := s.advice.heard[w.ID]
+		known, good := s.advice.tickets[w.ID]
+		if heard && born == w.Born && (!good || now.Add(ticketMargin).Before(known.until)) {
+			continue
+		}
+		workers = append(workers, w)
+	}
+	slices.SortStableFunc(workers, func(x, y *worker) int {
+		return -cmp.Compare(x.free().Holds(s.step.Need), y.free().Holds(s.step.Need))
+	})
+	ids := make([]string, 0, adviceWidth)
+	for _, w := range workers[:min(len(workers), adviceWidth)] {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// TakeAdvice takes in the answer to a question.
+func (a *Arranger) TakeAdvice(answer Advice) {
+	s := a.findStage(answer.Question.Step)
+	if s == nil || s.advice == nil {
+		return
+	}
+	s.advice.asking = false
+	a.changed = true
+	for _, id := range answer.Question.Workers {
+		w := a.workers[id]
+		if w == nil {
+			continue
+		}
+		s.advice.heard[id] = w.Born
+		delete(s.advice.tickets, id)
+		if value, ok := answer.Tickets[id]; ok {
+			s.advice.tickets[id] = ticket{born: w.Born, value: value, until: answer.Until}
+		}
+	}
+	a.options.Note("advice taken in", "job", s.job.ID, "step", answer.Question.Step,
+		"asked", len(answer.Question.Workers), "allowed", len(answer.Tickets), "until", answer.Until)
+}
+
+// AdviceFailed tells that a question got no answer; it is asked again after a pause.
+func (a *Arranger) AdviceFailed(now time.Time, q Question) {
+	if s := a.findStage(q.Step); s != nil && s.advice != nil {
+		s.advice.asking = false
+		s.advice.again = now.Add(advicePause)
+	}
+}
+
+// TicketRefused tells that a worker did not take the ticket of a start.
+func (a *Arranger) TicketRefused(name TaskName, workerID string) {
+	if t := a.findTask(name.String()); t != nil && t.stage.advice != nil {
+		delete(t.stage.advice.tickets, workerID)
+		delete(t.stage.advice.heard, workerID)
+	}
+}
+
+// findStage returns the stage with the name, or nil.
+func (a *Arranger) findStage(step string) *stage {
+	if t := a.findTask(step + ".0"); t != nil {
+		return t.stage
+	}
+	return nil
+}
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -100,6 +100,8 @@
 	// Stretch times the longest chain of work, and Objective more, is the time in which a job is to be done.
 	Stretch   float64       `json:"stretch"`
 	Objective time.Duration `json:"objective"`
+	// Advised tells that only workers that the advice service allows may run a step.
+	Advised bool `json:"advised,omitempty"`
 }
 
 // Worker is an upstream, as it describes itself.
@@ -196,7 +198,9 @@
 	Worker     string
 	Payload    string
 	Checkpoint string
-	Reason     string
+	// Ticket shows that the advice service allows the worker; empty where it is not asked.
+	Ticket string
+	Reason string
 }
 
 // StopOrder asks to stop a run on a worker.
@@ -211,4 +215,6 @@
 type Orders struct {
 	Starts []StartOrder
 	Stops  []StopOrder
+	// Questions go to the advice service.
+	Questions []Question
 }
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -38,6 +38,8 @@
 	sameRack bool
 	requires string
 	service  string
+	// advised is the stage if only some workers may run it.
+	advised *stage
 }
 
 func (a *Arranger) newSurvey(now time.Time) *survey {
@@ -78,6 +80,9 @@
 		need: u.stage.step.Need, rank: u.rank, sameRack: u.stage.step.SameRack,
 		requires: u.stage.step.Requires, service: u.stage.job.Policy.Service,
 	}
+	if u.stage.job.Policy.Advised {
+		key.advised = u.stage
+	}
 	if u.stage.step.Gang {
 		key.gang = len(u.stage.tasks)
 	}
@@ -229,6 +234,9 @@
 	if step.MaxPerWorker > 0 && sl.count(task.stage)+t.used[sl] >= step.MaxPerWorker {
 		return choice{}, false
 	}
+	if !task.stage.mayRunOn(w, t.survey.now) {
+		return choice{}, false
+	}
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.survey.slots) {
 		return choice{}, false
 	}
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -63,6 +63,7 @@
 	for _, u := range units {
 		s.place(u)
 	}
+	a.askAdvice(now, units)
 }
 
 // NextDue returns when the next occurrence of a job is due, or zero.
@@ -249,6 +250,11 @@
 			return false
 		}
 	}
+	for _, p := range group {
+		if !p.task.stage.mayRunOn(p.worker, now) {
+			return false
+		}
+	}
 	return true
 }
 
@@ -264,8 +270,9 @@
 		p.task.lastRun = run
 		p.state = placeStarting
 		p.began = now
+		allowed, _ := p.task.stage.ticketFor(p.worker, now)
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
-			Task: p.task.name(), Run: run, Worker: p.worker.ID,
+			Task: p.task.name(), Run: run, Worker: p.worker.ID, Ticket: allowed,
 			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Reason: reason,
 		})
 	}
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -80,6 +80,8 @@
 	left       int
 	// ready is when the stage's tasks could first start; zero while earlier steps are not done.
 	ready time.Time
+	// advice is what the advice service said; nil where it was not asked.
+	advice *advice
 }
 
 type job struct {
--- /dev/null
+++ b/director/advice.go
@@ -0,0 +1,46 @@
+package director
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipelift/snipelift/arranger"
+)
+
+// ask puts questions to the advice service, one after another.
+func (t *term) ask(ctx context.Context, questions []arranger.Question) {
+	for _, q := range questions {
+		t.Logger.Info("advice asked for", "step", q.Step, "workers", len(q.Workers), "epoch", t.lease.Epoch)
+		t.spawn(func() {
+			t.advising.Lock()
+			defer t.advising.Unlock()
+			if ctx.Err() == nil {
+				t.askOne(ctx, q)
+			}
+		})
+	}
+}
+
+func (t *term) askOne(ctx context.Context, q arranger.Question) {
+	if t.Advisor == nil {
+		t.Logger.Error("queue wants advice, but the settings name no advice service", "step", q.Step)
+		t.mu.Lock()
+		t.arranger.AdviceFailed(time.Now(), q)
+		t.mu.Unlock()
+		return
+	}
+	advised, err := t.Advisor.Ask(ctx, q.Step, q.Workers)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.Logger.Warn("no advice", "step", q.Step, "error", err.Error())
+		t.arranger.AdviceFailed(time.Now(), q)
+		return
+	}
+	answer := arranger.Advice{Question: q, Tickets: map[string]string{}, Until: time.Now().Add(advised.Validity)}
+	for _, ticket := range advised.Tickets {
+		answer.Tickets[ticket.Worker] = ticket.Value
+	}
+	t.arranger.TakeAdvice(answer)
+	t.wake()
+}
--- a/director/director.go
+++ b/director/director.go
@@ -40,8 +40,10 @@
 	Incarnation string
 	Store       *platform.Store
 	Workers     *platform.Workers
-	Config      *follower.Follower
-	Bounds      platform.Bounds
+	// Advisor tells which workers may run the steps of some queues; nil where there is none.
+	Advisor *platform.Advisor
+	Config  *follower.Follower
+	Bounds  platform.Bounds
 	// Cores is the processor share of the VM; 0 counts as enough for an owner.
 	Cores  float64
 	Logger *slog.Logger
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -18,7 +18,10 @@
 	"github.com/snipelift/snipelift/platform"
 )
 
-const storeAddress = "store:1"
+const (
+	storeAddress  = "store:1"
+	adviceAddress = "advice:1"
+)
 
 // service is a whole service in one process: the platform's stand-ins and some entries.
 type service struct {
@@ -40,13 +43,25 @@
 
 // run plays a test on a service in virtual time.
 func run(t *testing.T, entries, workers int, play func(s *service)) {
+	t.Helper()
+	runAdvised(t, entries, workers, nil, play)
+}
+
+// runAdvised is run with an advice service for the only queue, if there is one.
+func runAdvised(t *testing.T, entries, workers int, advisor *faker.Advisor, play func(s *service)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &service{t: t, board: faker.NewSwitchboard(), store: faker.NewRowStore(), fleet: faker.NewTaskFleet()}
 		s.board.Handle(storeAddress, s.store)
+		queue := map[string]any{"name": "lookups", "host": "a.example", "prefix": "/l/", "service": "tabulator", "priority": 0, "maxAttempts": 3, "stretch": 1.5, "sloMs": 250}
+		if advisor != nil {
+			s.fleet.Advisor = advisor
+			s.board.Handle(adviceAddress, advisor)
+			queue["advice"] = map[string]any{"decisionMs": 0, "eachMs": advisor.Each.Milliseconds(), "validityMs": advisor.Validity.Milliseconds()}
+		}
 		s.store.Put("op", "config", map[string]any{
 			"version":  1,
-			"routes":   []any{map[string]any{"name": "lookups", "host": "a.example", "prefix": "/l/", "service": "tabulator", "priority": 0, "maxAttempts": 3, "stretch": 1.5, "sloMs": 250}},
+			"routes":   []any{queue},
 			"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
 			"limits":   map[string]any{"maxBodyBytes": 128 << 10},
 			"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": 16}}, map[string]any{"name": "others", "apiKeys": []string{"other"}}},
@@ -87,6 +102,7 @@
 	d := &director.Director{
 		Node: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
+		Advisor: &platform.Advisor{Client: client, Address: adviceAddress, Timeout: 5 * time.Second},
 		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
 		Bounds: platform.Bounds{LeaseLimit: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusTime: time.Minute, RemoteFactor: 3},
 	}
--- a/director/orders.go
+++ b/director/orders.go
@@ -30,12 +30,13 @@
 			continue
 		}
 		start := platform.StartOrder{
-			Task: o.Task.String(), Run: o.Run, Spec: o.Payload, LeaseUntil: s.nextLease(), Fence: t.lease.Epoch, Checkpoint: o.Checkpoint,
+			Task: o.Task.String(), Run: o.Run, Spec: o.Payload, LeaseUntil: s.nextLease(), Fence: t.lease.Epoch, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 		}
 		t.Logger.Info("start ordered", "job", o.Task.Job, "task", start.Task, "run", o.Run, "worker", o.Worker,
 			"checkpoint", o.Checkpoint, "reason", o.Reason, "epoch", t.lease.Epoch, "heardAgo", (t.now() - s.at).String())
 		t.spawn(func() { t.start(ctx, s, o, start) })
 	}
+	t.ask(ctx, orders.Questions)
 	for _, o := range orders.Stops {
 		s := t.sessions[o.Worker]
 		if s == nil {
@@ -90,6 +91,9 @@
 		t.closeSession(s, "another worker at its address")
 	case errors.Is(err, platform.ErrUnknown):
 		t.arranger.StartUnsure(o.Task, o.Run)
+	case errors.Is(err, platform.ErrNoTicket):
+		t.arranger.TicketRefused(o.Task, o.Worker)
+		t.arranger.StartRefused(now, o.Task, o.Run)
 	default:
 		t.arranger.StartRefused(now, o.Task, o.Run)
 	}
--- a/director/term.go
+++ b/director/term.go
@@ -48,7 +48,9 @@
 	// records hold what the progress rows of all known jobs need beside the arranger's state.
 	records map[string]jobRecord
 	writer  writer
-	view    *follower.View
+	// advising is held while the advice service answers; it takes one question of a VM at a time.
+	advising sync.Mutex
+	view     *follower.View
 	// succeedsItself tells that the earlier owner was a process of this VM, which has ended.
 	succeedsItself bool
 }
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -10,6 +10,9 @@
 
 // TaskFleet stands in for the operated platform's workers and notes each broken promise that they can see.
 type TaskFleet struct {
+	// Advisor issues the tickets without which no task starts; nil means that none are needed.
+	Advisor *Advisor
+
 	mu      sync.Mutex
 	workers map[string]*TaskWorker
 	jobs    map[string]TaskJob
@@ -182,6 +185,7 @@
 	Fence      int64  `json:"fence"`
 	AckedUpto  int64  `json:"ackedUpto"`
 	WaitMs     int64  `json:"waitMs"`
+	Ticket     string `json:"ticket"`
 }
 
 func (w *TaskWorker) clock() time.Duration { return time.Since(w.born) }
@@ -235,6 +239,9 @@
 	if w.clock() > time.Duration(o.DeadlineMs)*time.Millisecond {
 		return http.StatusConflict, "late"
 	}
+	if w.fleet.Advisor != nil && !w.fleet.Advisor.valid(o.Ticket, w.ID, o.Task) {
+		return http.StatusConflict, "ticket"
+	}
 	job := jobOfTask(o.Task)
 	if w.occupied()+w.fleet.jobs[job].Accelerators > w.accelerators {
 		return http.StatusConflict, "room"
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,8 @@
 	storeTimeout = 1200 * time.Millisecond
 	// checkTimeout bounds one look whether the store serves this VM again.
 	checkTimeout = 400 * time.Millisecond
+	// adviceTimeout bounds one question to the advice service, behind others that it may answer first.
+	adviceTimeout = 5 * time.Second
 	// workerTimeout bounds one order to a worker.
 	workerTimeout = 900 * time.Millisecond
 	// headerTimeout, idleTimeout and maxHeaderBytes bound what clients may keep open before the configuration is known.
@@ -94,6 +96,9 @@
 		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
 		Config:  h.config, Bounds: h.Settings.Bounds, Logger: h.Logger, Cores: h.Settings.Cores,
 	}
+	if h.Settings.AdviceAddress != "" {
+		d.Advisor = &platform.Advisor{Client: client, Address: h.Settings.AdviceAddress, Timeout: adviceTimeout}
+	}
 	d.Run(ctx)
 }
 
