Keep steps available and serving tasks undisturbed

Cause: room for urgent work was made by stopping any later work, also lasting tasks of a step that says how many may be missing; and tasks that fill were put beside tasks that serve users, whose response times they harm.

Ruled out: pacing, which would use the processor time beside serving tasks; it needs measures of the harm and is not built.

Change: a lasting task with a bound is stopped only while fewer than the bound are away, one of a step for each decision on a worker; tasks that serve and tasks that fill do not share a worker.

Conclusion: safe and plain; a fleet full of serving tasks leaves tasks that fill waiting, which is written down as open.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -204,6 +204,7 @@
 			Count: step.Count, Need: need, Estimate: time.Duration(step.EstimateMs * float64(time.Millisecond)),
 			After: step.After, Checkpoints: step.Checkpoints, Gang: step.Gang, SameRack: step.SameRack,
 			Requires: step.Requires, DataRack: step.DataRack, MaxPerWorker: step.MaxPerWorker, Lasting: step.Persistent,
+			MayMiss: step.MayMiss, Serves: step.TargetMs > 0, Fills: step.Fills,
 		})
 	}
 	return j
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -73,6 +73,12 @@
 	MaxPerWorker int `json:"maxPerWorker,omitempty"`
 	// Lasting tasks run until the job is cancelled.
 	Lasting bool `json:"lasting,omitempty"`
+	// MayMiss is how many lasting tasks may be unavailable at a time through our doing; 0 sets no bound.
+	MayMiss int `json:"mayMiss,omitempty"`
+	// Serves tells that the tasks serve users of their own, whose response times suffer from tasks that fill.
+	Serves bool `json:"serves,omitempty"`
+	// Fills tells that the tasks use what processor time the others on their worker leave.
+	Fills bool `json:"fills,omitempty"`
 }
 
 // Job is what a caller submitted, with the rules of its queue.
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -40,6 +40,8 @@
 	service  string
 	// advised is the stage if only some workers may run it.
 	advised *stage
+	// serves and fills are those of the step.
+	serves, fills bool
 }
 
 func (a *Arranger) newSurvey(now time.Time) *survey {
@@ -79,6 +81,7 @@
 	key := refusedKey{
 		need: u.stage.step.Need, rank: u.rank, sameRack: u.stage.step.SameRack,
 		requires: u.stage.step.Requires, service: u.stage.job.Policy.Service,
+		serves: u.stage.step.Serves, fills: u.stage.step.Fills,
 	}
 	if u.stage.job.Policy.Advised {
 		key.advised = u.stage
@@ -234,6 +237,9 @@
 	if step.MaxPerWorker > 0 && sl.count(task.stage)+t.used[sl] >= step.MaxPerWorker {
 		return choice{}, false
 	}
+	if w.disturbs(step) {
+		return choice{}, false
+	}
 	if !task.stage.mayRunOn(w, t.survey.now) {
 		return choice{}, false
 	}
@@ -319,6 +325,9 @@
 		if room.Covers(need) {
 			break
 		}
+		if boundTogether(c.victims, p) {
+			continue
+		}
 		room = room.Plus(p.task.stage.step.Need)
 		c.victims = append(c.victims, p)
 	}
@@ -352,7 +361,7 @@
 	if p.state != placeStarting && p.state != placeRunning || p.task.done || j.state.Final() {
 		return false
 	}
-	return t.survey.ranks[j] > t.unit.rank && t.survey.ranks[j] > rankGuaranteed
+	return t.survey.ranks[j] > t.unit.rank && t.survey.ranks[j] > rankGuaranteed && t.mayMiss(p)
 }
 
 // lossOf returns the core-seconds that stopping the run throws away, with those of its whole gang.
--- /dev/null
+++ b/arranger/sharing.go
@@ -0,0 +1,51 @@
+package arranger
+
+// Tasks that serve users of their own share workers with tasks that fill, and
+// must stay available while room is made for others.
+
+// disturbs reports whether the step's tasks and one that is on the worker must not run side by side, since nothing here paces tasks that fill.
+func (w *worker) disturbs(s Step) bool {
+	if !s.Serves && !s.Fills {
+		return false
+	}
+	for _, p := range w.places {
+		other := p.task.stage.step
+		if s.Serves && other.Fills || s.Fills && other.Serves {
+			return true
+		}
+	}
+	return false
+}
+
+// mayMiss reports whether a task of a step that has to stay available may be stopped, besides those gone already.
+func (t *trial) mayMiss(p *place) bool {
+	s := p.task.stage
+	if !s.step.Lasting || s.step.MayMiss == 0 {
+		return true
+	}
+	missing := 0
+	for _, other := range s.tasks {
+		if other != p.task && (!other.atWork() || t.gone[other.place]) {
+			missing++
+		}
+	}
+	return missing < s.step.MayMiss
+}
+
+// boundTogether reports whether stopping the run as well would count twice against the bound of a step that has to stay available.
+func boundTogether(victims []*place, p *place) bool {
+	if p.task.stage.step.MayMiss == 0 {
+		return false
+	}
+	for _, victim := range victims {
+		if victim.task.stage == p.task.stage {
+			return true
+		}
+	}
+	return false
+}
+
+// atWork reports whether the task has a run that has come up.
+func (t *task) atWork() bool {
+	return t.place != nil && t.place.state == placeRunning && t.place.percent >= wholePercent && t.place.worker.reachable
+}
