Tell an unknown outcome at a peer from a refusal by the store

Cause: a write that the store turned away went on to a peer; when its outcome there was unknown, the caller was told of the store's refusal before, "surely not done".

Ruled out: writes that went to the store alone; their outcome was told rightly.

Change: an unknown outcome of the second way is the outcome of the call.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,12 +104,17 @@
 	if served || !repeatable(request, err) {
 		return response, err
 	}
-	if second, secondErr := r.throughPeer(request, body); secondErr == nil {
-		return second, nil
+	if second, secondErr := r.throughPeer(request, body); secondErr == nil || mayBeDone(request, secondErr) {
+		return second, secondErr
 	}
 	return response, err
 }
 
+// mayBeDone reports whether a call through a peer that failed may have changed something, or still may.
+func mayBeDone(request *http.Request, err error) bool {
+	return !errors.Is(err, errNoPeer) && request.Method != http.MethodGet && !platform.SurelyNotDone(err)
+}
+
 func readBody(request *http.Request) ([]byte, error) {
 	if request.Body == nil {
 		return nil, nil
@@ -137,7 +142,7 @@
 	if err == nil {
 		return !turnedAway(response)
 	}
-	return !errors.Is(err, errNoPeer) && !repeatable(request, err)
+	return mayBeDone(request, err)
 }
 
 // direct calls the store itself and leaves time for a second way if there is one.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -99,7 +99,9 @@
 		{"read without an answer", silent, answering(200, "peer"), http.MethodGet, "peer", "peer"},
 		{"peer turned away as well", answering(503, ""), answering(503, ""), http.MethodPost, busy, busy},
 		{"peer gone", answering(503, ""), failing(errRefused), http.MethodPost, busy, busy},
-		{"write cut off at the peer", answering(503, ""), failing(errCut), http.MethodPost, busy, busy},
+		{"write cut off at the peer", answering(503, ""), failing(errCut), http.MethodPost, "error", busy},
+		{"write without an answer at the peer", answering(503, ""), silent, http.MethodPost, "error", busy},
+		{"read cut off at the peer", answering(503, ""), failing(errCut), http.MethodGet, busy, busy},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
