--- a/director/fleet.go
+++ b/director/fleet.go
@@ -68,7 +68,8 @@
 	if known && before.Born != 0 && info.Born != 0 && before.Born > info.Born {
 		return
 	}
-	if known && before.Draining != info.Draining {
+	// Of the workers that an earlier owner used only the address is known at first.
+	if known && before.Service != "" && before.Draining != info.Draining {
 		t.Logger.Info("worker changes state", "worker", w.ID, "draining", w.Draining, "remaining", w.Remaining.String())
 	}
 	t.openSession(info)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -88,7 +88,9 @@
 		default:
 			version, err = f.follow(ctx, version)
 		}
-		f.noteContact(err)
+		if ctx.Err() == nil {
+			f.noteContact(err)
+		}
 		if err != nil && ctx.Err() == nil {
 			sleeper.Sleep(ctx, retryPause)
 		}
