Count relayed calls

Cause: the metrics did not tell how many calls a VM sends through its peers.

Measured: a test asks for the counts.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,6 +36,8 @@
 	// Check asks the store directly whether it serves this VM.
 	Check  func(ctx context.Context) error
 	Logger *slog.Logger
+	// Count takes the name of each event that is worth a metric; nil means that nobody counts.
+	Count func(name string)
 	// Now is the steady time; nil means time.Now.
 	Now func() time.Time
 
@@ -72,6 +74,21 @@
 	return r.path.lost
 }
 
+// The events that are counted.
+const (
+	// countSent and countFailed are calls of this VM that went to a peer, and those of them that brought no answer.
+	countSent   = "relay.sent"
+	countFailed = "relay.failed"
+	// countServed are calls of peers that were brought to the store.
+	countServed = "relay.served"
+)
+
+func (r *Relayer) count(name string) {
+	if r.Count != nil {
+		r.Count(name)
+	}
+}
+
 func (r *Relayer) now() time.Time {
 	if r.Now != nil {
 		return r.Now()
@@ -174,6 +191,10 @@
 	}
 	response, err := exchange(request.Context(), r.Direct, request, peer, body)
 	served := err == nil && !turnedAway(response)
+	r.count(countSent)
+	if !served {
+		r.count(countFailed)
+	}
 	r.mu.Lock()
 	r.path.notePeer(r.now(), peer, served)
 	r.mu.Unlock()
@@ -254,6 +275,7 @@
 		return
 	}
 	request.URL.Scheme = "http"
+	r.count(countServed)
 	response, err := exchange(request.Context(), r.Direct, request, r.Store, body)
 	switch {
 	case err == nil:
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -127,12 +127,17 @@
 		"peer:1": always(failing(errCut)),
 	}, "peer:1")
 	r.path.lost = true
+	counts := map[string]int{}
+	r.Count = func(name string) { counts[name]++ }
 	if _, err := call(r, http.MethodPost); !errors.Is(err, errCut) {
 		t.Fatalf("got %v, want that the outcome is unknown", err)
 	}
 	if sent != 0 {
 		t.Fatalf("the write went to the store %d times after its outcome was unknown", sent)
 	}
+	if counts[countSent] != 1 || counts[countFailed] != 1 {
+		t.Errorf("counted %v, want one call sent and failed", counts)
+	}
 }
 
 func TestTheStoreIsUsedAgainOnceItServesThisVM(t *testing.T) {
