Do not take a slow store for a silent one

Cause: with peers known a direct call was given half of its time.

Change: a direct call is ended early only if the store has answered no other direct call for half a second.

--- a/relayer/path.go
+++ b/relayer/path.go
@@ -1,6 +1,9 @@
 package relayer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // peerRest is the time for which a peer that failed is left alone; outages of the store last for several seconds.
 const peerRest = 3 * time.Second
@@ -38,21 +41,12 @@
 func (p *path) setPeers(peers []string) {
 	p.peers = peers
 	for peer := range p.rests {
-		if !contains(peers, peer) {
+		if !slices.Contains(peers, peer) {
 			delete(p.rests, peer)
 		}
 	}
 }
 
-func contains(peers []string, wanted string) bool {
-	for _, peer := range peers {
-		if peer == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // noteDirect takes in whether the store served this VM and reports whether that has changed.
 func (p *path) noteDirect(served bool) bool {
 	changed := p.lost == served
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,6 +23,8 @@
 	maxReserve = 700 * time.Millisecond
 	// checkPause is the time between looks whether the store serves this VM again.
 	checkPause = 400 * time.Millisecond
+	// aliveWindow is the time since the last direct answer in which the store counts as slow and not as silent; at 60 times its usual time a reading takes 0.25 s, and one is always under way.
+	aliveWindow = 500 * time.Millisecond
 	// maxBodyBytes bounds one call and one answer; a page of the store has 1 MB before its encoding.
 	maxBodyBytes = 4 << 20
 )
@@ -41,9 +43,11 @@
 	// Now is the steady time; nil means time.Now.
 	Now func() time.Time
 
-	mu    sync.Mutex
-	path  path
-	tasks sync.WaitGroup
+	mu   sync.Mutex
+	path path
+	// answered is when the store last served a direct call.
+	answered time.Time
+	tasks    sync.WaitGroup
 	// base ends with the process.
 	base context.Context //nolint:containedctx // A lost store is looked after beyond the call that noticed it.
 }
@@ -170,14 +174,40 @@
 	r.mu.Unlock()
 	if deadline, ok := ctx.Deadline(); ok && hasPeer {
 		left := time.Until(deadline)
-		reserve := min(maxReserve, time.Duration(relayShare*float64(left)))
-		limited, cancel := context.WithTimeout(ctx, left-reserve)
+		limited, cancel := context.WithCancel(ctx)
 		defer cancel()
+		stop := r.endIfSilent(left-min(maxReserve, time.Duration(relayShare*float64(left))), cancel)
+		defer stop()
 		ctx = limited
 	}
 	return exchange(ctx, r.Direct, request, request.URL.Host, body)
 }
 
+// endIfSilent ends a call after the time given if the store has answered no other call lately; a slow store is as slow for the peers.
+func (r *Relayer) endIfSilent(after time.Duration, end func()) (stop func()) {
+	done := make(chan struct{})
+	timer := time.NewTimer(after)
+	go func() {
+		defer timer.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-timer.C:
+			}
+			r.mu.Lock()
+			silence := r.now().Sub(r.answered)
+			r.mu.Unlock()
+			if silence >= aliveWindow {
+				end()
+				return
+			}
+			timer.Reset(aliveWindow - silence)
+		}
+	}()
+	return func() { close(done) }
+}
+
 // errNoPeer means that no peer could be asked.
 var errNoPeer = errors.New("no peer to ask")
 
@@ -229,6 +259,9 @@
 func (r *Relayer) noteDirect(served bool, response *http.Response, err error) {
 	r.mu.Lock()
 	changed := r.path.noteDirect(served)
+	if served {
+		r.answered = r.now()
+	}
 	base, peers := r.base, len(r.path.peers)
 	r.mu.Unlock()
 	if !changed {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -120,6 +121,30 @@
 	}
 }
 
+// The store takes longer than the direct way is given, but answers other calls meanwhile.
+func TestASlowStoreIsNotTakenForASilentOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := 900 * time.Millisecond
+		r := newRelayer(wires{
+			store:    func() reply { time.Sleep(took); return answering(200, "store") },
+			"peer:1": always(answering(200, "peer")),
+		}, "peer:1")
+		go func() {
+			for range 5 {
+				time.Sleep(200 * time.Millisecond)
+				r.noteDirect(true, nil, nil)
+			}
+		}()
+		if got, err := call(r, http.MethodPost); got != "store" {
+			t.Errorf("got %q, %v, want the slow answer", got, err)
+		}
+		time.Sleep(time.Second)
+		if r.Lost() {
+			t.Error("the store counts as lost")
+		}
+	})
+}
+
 func TestAWriteWhoseOutcomeAtAPeerIsUnknownIsNotSentAgain(t *testing.T) {
 	sent := 0
 	r := newRelayer(wires{
@@ -142,10 +167,10 @@
 
 func TestTheStoreIsUsedAgainOnceItServesThisVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		serves := false
+		var serves atomic.Bool
 		r := newRelayer(wires{
 			store: func() reply {
-				if serves {
+				if serves.Load() {
 					return answering(200, "store")
 				}
 				return failing(errRefused)
@@ -153,7 +178,7 @@
 			"peer:1": always(answering(200, "peer")),
 		}, "peer:1")
 		r.Check = func(context.Context) error {
-			if serves {
+			if serves.Load() {
 				return nil
 			}
 			return errRefused
@@ -163,7 +188,7 @@
 		if got, err := call(r, http.MethodPost); got != "peer" {
 			t.Fatalf("got %q, %v while the store turns this VM away", got, err)
 		}
-		serves = true
+		serves.Store(true)
 		time.Sleep(2 * checkPause)
 		if got, err := call(r, http.MethodPost); got != "store" {
 			t.Fatalf("got %q, %v after the store's return", got, err)
