--- a/arranger/advice.go
+++ b/arranger/advice.go
@@ -39,12 +39,12 @@
 
 // advice is what is known of the workers that may run a stage; which these are does not change.
 type advice struct {
-	// heard holds the lives of the workers that were asked about.
-	heard   map[string]int64
+	// asked holds the lives of the workers that were asked about.
+	asked   map[string]int64
 	tickets map[string]ticket
-	// asking tells that a question is under way, again when one that failed is repeated.
-	asking bool
-	again  time.Time
+	// asking tells that a question is under way, retryAt when one that failed is repeated.
+	asking  bool
+	retryAt time.Time
 }
 
 // ticketFor returns the ticket for a worker, or false if it has none that holds long enough.
@@ -78,9 +78,9 @@
 			continue
 		}
 		if s.advice == nil {
-			s.advice = &advice{heard: map[string]int64{}, tickets: map[string]ticket{}}
+			s.advice = &advice{asked: map[string]int64{}, tickets: map[string]ticket{}}
 		}
-		if s.advice.asking || now.Before(s.advice.again) {
+		if s.advice.asking || now.Before(s.advice.retryAt) {
 			continue
 		}
 		if workers := a.unadvised(now, s); len(workers) > 0 {
@@ -97,9 +97,9 @@
 		if w.Service != s.job.Policy.Service || !w.has(s.step.Requires) || !w.Capacity.Covers(s.step.Need) || !w.takes(now) {
 			continue
 		}
-		born, heard := s.advice.heard[w.ID]
+		born, asked := s.advice.asked[w.ID]
 		known, good := s.advice.tickets[w.ID]
-		if heard && born == w.Born && (!good || now.Add(ticketMargin).Before(known.until)) {
+		if asked && born == w.Born && (!good || now.Add(ticketMargin).Before(known.until)) {
 			continue
 		}
 		workers = append(workers, w)
@@ -127,7 +127,7 @@
 		if w == nil {
 			continue
 		}
-		s.advice.heard[id] = w.Born
+		s.advice.asked[id] = w.Born
 		delete(s.advice.tickets, id)
 		if value, ok := answer.Tickets[id]; ok {
 			s.advice.tickets[id] = ticket{born: w.Born, value: value, until: answer.Until}
@@ -141,7 +141,7 @@
 func (a *Arranger) AdviceFailed(now time.Time, q Question) {
 	if s := a.findStage(q.Step); s != nil && s.advice != nil {
 		s.advice.asking = false
-		s.advice.again = now.Add(advicePause)
+		s.advice.retryAt = now.Add(advicePause)
 	}
 }
 
@@ -149,7 +149,7 @@
 func (a *Arranger) TicketRefused(name TaskName, workerID string) {
 	if t := a.findTask(name.String()); t != nil && t.stage.advice != nil {
 		delete(t.stage.advice.tickets, workerID)
-		delete(t.stage.advice.heard, workerID)
+		delete(t.stage.advice.asked, workerID)
 	}
 }
 
