--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -25,6 +25,8 @@
 	err    error
 	// silent leaves the call without an answer.
 	silent bool
+	// took is how long the answer takes; a call that is given up meanwhile gets none.
+	took time.Duration
 }
 
 // wires carries calls to what stands at each host.
@@ -39,6 +41,11 @@
 	if r.err != nil {
 		return nil, r.err
 	}
+	select {
+	case <-time.After(r.took):
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
 	return &http.Response{StatusCode: r.status, Status: http.StatusText(r.status), Body: io.NopCloser(strings.NewReader(r.body))}, nil
 }
 
@@ -124,9 +131,10 @@
 // The store takes longer than the direct way is given, but answers other calls meanwhile.
 func TestASlowStoreIsNotTakenForASilentOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		took := 900 * time.Millisecond
+		slow := answering(200, "store")
+		slow.took = 900 * time.Millisecond
 		r := newRelayer(wires{
-			store:    func() reply { time.Sleep(took); return answering(200, "store") },
+			store:    always(slow),
 			"peer:1": always(answering(200, "peer")),
 		}, "peer:1")
 		go func() {
