Keep the owner's list of workers in 64 rows, and let no row hold up the lease

Cause: the row fleet/workers listed all workers of the owner; with 1,100 it outgrew the 64 KB of a value, the store refused each write of the owner, and the lease went from VM to VM every 1.1 s. Ruled out: compressing the row, which only moves the limit; one row a worker, since 1,100 rows do not fit into one transaction and a takeover has to know them all. Change: the list is spread over 64 rows by a hash of the worker's ID, and only rows that differ from what the store holds are written, so that a takeover writes none of them. A transaction is bounded to 512 KB of values as well as by rows, here and where jobs are accepted. A batch that the store does not take is written row by row, and the row at fault is set aside for 5 s while lease and other rows go on; ends that wait for it are not acknowledged meanwhile. The stand-in now refuses what the store refuses: calls and pages over 1 MB. Tests, failing before: 5,000 workers (job not started), a row that the store does not take (others held up), 300 jobs of 30 KB at once (answered 504).

--- a/acceptor/batch.go
+++ b/acceptor/batch.go
@@ -13,6 +13,8 @@
 const (
 	// maxBatch is the number of jobs recorded in one transaction; the store takes 100 rows.
 	maxBatch = 40
+	// maxBatchBytes bounds the values of one transaction; the store takes 1 MB, in which values are a third longer than here.
+	maxBatchBytes = 512 << 10
 	// unknownPause is the time before a write is repeated whose answer was lost.
 	unknownPause = 50 * time.Millisecond
 )
@@ -65,7 +67,7 @@
 			b.mu.Unlock()
 			return
 		}
-		n := min(len(b.waiting), maxBatch)
+		n := batchLength(b.waiting)
 		batch := b.waiting[:n:n]
 		b.waiting = b.waiting[n:]
 		b.mu.Unlock()
@@ -73,6 +75,18 @@
 	}
 }
 
+// batchLength returns the number of jobs that are recorded together.
+func batchLength(waiting []*record) int {
+	size := 0
+	for i, r := range waiting {
+		size += len(r.value)
+		if i == maxBatch || i > 0 && size > maxBatchBytes {
+			return i
+		}
+	}
+	return len(waiting)
+}
+
 // record writes a batch until each of its jobs has an outcome.
 func (b *batcher) record(batch []*record) {
 	lostBefore := false
--- a/director/fleet.go
+++ b/director/fleet.go
@@ -76,20 +76,30 @@
 	t.arranger.SetWorker(info)
 }
 
-// listWorkers notes which workers are to be recorded as led by this owner; the term's lock is held.
-func (t *term) listWorkers() {
-	workers := make([]registrar.KnownWorker, 0, len(t.sessions))
-	for _, s := range t.sessions {
-		if s.vacant {
-			continue
+// recordWorker asks for the record of a worker to be brought up to date.
+func (t *term) recordWorker(id string) {
+	t.writer.changeGroup(registrar.WorkersGroup(id))
+	t.writer.signal()
+}
+
+// workersRows returns the rows of the groups as they are to be recorded; the term's lock is held.
+func (t *term) workersRows(groups []int) []platform.Row {
+	members := make(map[int][]registrar.KnownWorker, len(groups))
+	for _, group := range groups {
+		members[group] = []registrar.KnownWorker{}
+	}
+	for id, s := range t.sessions {
+		group := registrar.WorkersGroup(id)
+		if _, wanted := members[group]; wanted && !s.vacant {
+			members[group] = append(members[group], registrar.KnownWorker{ID: id, Address: s.worker.Address, Born: s.worker.Born})
 		}
-		workers = append(workers, registrar.KnownWorker{ID: s.worker.ID, Address: s.worker.Address, Born: s.worker.Born})
 	}
-	slices.SortFunc(workers, func(x, y registrar.KnownWorker) int { return cmp.Compare(x.ID, y.ID) })
-	w := &t.writer
-	w.mu.Lock()
-	w.workers = workers
-	w.workersChanged = true
-	w.mu.Unlock()
-	w.signal()
+	rows := make([]platform.Row, 0, len(groups))
+	for _, group := range groups {
+		slices.SortFunc(members[group], func(x, y registrar.KnownWorker) int { return cmp.Compare(x.ID, y.ID) })
+		row := registrar.WorkersRow(group)
+		row.Value = registrar.Encode(members[group])
+		rows = append(rows, row)
+	}
+	return rows
 }
--- a/director/load.go
+++ b/director/load.go
@@ -28,8 +28,7 @@
 }
 
 func (t *term) loadOnce(ctx context.Context) (int64, error) {
-	var progress, listed platform.Page
-	var known platform.Row
+	var progress, listed, known platform.Page
 	var jobs jobRead
 	// A slow store takes a quarter of a second for each reading.
 	err := together(
@@ -38,7 +37,8 @@
 			return err
 		},
 		func() (err error) {
-			known, err = t.Store.Get(ctx, registrar.FleetTable, registrar.OwnerPart, registrar.WorkersKey)
+			from, to := registrar.WorkersKeys()
+			known, err = t.Store.Range(ctx, registrar.FleetTable, registrar.OwnerPart, from, to)
 			return err
 		},
 		func() (err error) {
@@ -57,7 +57,7 @@
 	defer t.mu.Unlock()
 	t.takeConfig()
 	recorded := t.decodeProgress(progress.Rows)
-	t.expectWorkers(known, listed.Rows)
+	t.expectWorkers(known.Rows, listed.Rows)
 	t.takeJobRows(jobs.rows, recorded)
 	for id, p := range recorded {
 		if p.EndedMillis > 0 && !t.arranger.Knows(id) {
--- /dev/null
+++ b/director/rows_test.go
@@ -0,0 +1,90 @@
+package director_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/faker"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+)
+
+// manyWorkers is a fleet whose list of workers fits into no single row of the store.
+const manyWorkers = 5000
+
+func TestAnOwnerOfThousandsOfWorkersKeepsItsLease(t *testing.T) {
+	run(t, 2, manyWorkers, func(s *service) {
+		first := s.owner()
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 4 * time.Second, Gang: 2, Accelerators: 8}, 2)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		if got := epochOf(s); got != 1 {
+			t.Fatalf("epoch %d, want the first owner still to be the owner", got)
+		}
+		s.board.Cut(first.name, true)
+		time.Sleep(3 * time.Second)
+		if s.owner() == first {
+			t.Fatal("nobody took the lease over")
+		}
+		s.await(s.other(first), jobA, "succeeded", 4*time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want the gang's two", got)
+		}
+		if got := epochOf(s); got != 2 {
+			t.Errorf("epoch %d, want one takeover", got)
+		}
+	})
+}
+
+func TestARowThatTheStoreDoesNotTakeDoesNotHoldUpTheOthers(t *testing.T) {
+	run(t, 2, 2, func(s *service) {
+		s.store.SetFaults(faker.RowFaults{RejectRow: "progress/" + jobA})
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.submit(s.entries[0], jobB, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.await(s.entries[1], jobB, "succeeded", 3*time.Second)
+		time.Sleep(10 * time.Second)
+		if got := epochOf(s); got != 1 {
+			t.Errorf("epoch %d, want the first owner still to be the owner", got)
+		}
+		s.store.SetFaults(faker.RowFaults{})
+		s.await(s.entries[1], jobA, "succeeded", 7*time.Second)
+		if got := s.fleet.Starts(jobA) + s.fleet.Starts(jobB); got != 2 {
+			t.Errorf("%d starts, want each task once", got)
+		}
+	})
+}
+
+func TestLargeJobsThatComeTogetherAreAccepted(t *testing.T) {
+	run(t, 1, 1, func(s *service) {
+		const label = 30_000
+		body := `{"spec":"x","steps":[{"count":1,"requires":"` + strings.Repeat("x", label) + `"}]}`
+		// Jobs that come while a write is under way share the next one.
+		s.store.SetFaults(faker.RowFaults{Delay: 100 * time.Millisecond})
+		statuses := make(chan int)
+		const jobs = 300
+		for i := range jobs {
+			id := fmt.Sprintf("%016x", i)
+			s.fleet.SetJob(id, faker.TaskJob{Duration: time.Second})
+			go func() {
+				status, _ := s.call(s.entries[0], "key", "POST", "/l/"+id, body)
+				statuses <- status
+			}()
+		}
+		for range jobs {
+			if status := <-statuses; status != 200 {
+				t.Fatalf("a job was answered %d", status)
+			}
+		}
+	})
+}
+
+// epochOf returns the epoch of the lease.
+func epochOf(s *service) int64 {
+	s.t.Helper()
+	lease, err := registrar.Decode[registrar.Lease](platform.Row{Value: s.store.Rows(registrar.LeaseTable, registrar.OwnerPart)[registrar.LeaseKey]})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return lease.Epoch
+}
--- a/director/session.go
+++ b/director/session.go
@@ -59,7 +59,7 @@
 	s := &session{term: t, worker: info, changed: make(chan struct{}, 1), listed: true}
 	t.sessions[info.ID] = s
 	t.spawn(func() { s.lead(t.context(s)) })
-	t.listWorkers()
+	t.recordWorker(info.ID)
 }
 
 // context returns the context of a session, which ends with the term's.
@@ -78,7 +78,7 @@
 	t.arranger.LoseWorker(s.worker.ID, reason)
 	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Born, "reason", reason)
 	s.cancel()
-	t.listWorkers()
+	t.recordWorker(s.worker.ID)
 	t.wake()
 }
 
@@ -200,7 +200,7 @@
 	}
 	s.vacant = vacant
 	s.term.Logger.Info("worker is leaving", "worker", s.worker.ID, "vacant", vacant)
-	s.term.listWorkers()
+	s.term.recordWorker(s.worker.ID)
 }
 
 func howOf(how platform.HowEnded) arranger.How {
--- a/director/term.go
+++ b/director/term.go
@@ -115,14 +115,15 @@
 func (t *term) mayAct() bool { return t.now()-t.writer.renewedAt() < actLimit }
 
 // expectWorkers lists the workers that an earlier owner may have given orders to.
-func (t *term) expectWorkers(known platform.Row, listed []platform.Row) {
+func (t *term) expectWorkers(known, listed []platform.Row) {
 	lapsed := time.Now().Add(t.lastLease())
 	recorded := map[string]bool{}
-	if known.Version != 0 {
-		workers, err := registrar.Decode[[]registrar.KnownWorker](known)
+	for _, row := range known {
+		workers, err := registrar.Decode[[]registrar.KnownWorker](row)
 		if err != nil {
-			t.Logger.Error("list of workers unreadable", "error", err.Error())
+			t.Logger.Error("list of workers unreadable", "key", row.Key, "error", err.Error())
 		}
+		t.writer.noteRecorded(row)
 		for _, w := range workers {
 			// One that is no longer listed gets no new work, but what it runs and has ended counts.
 			info := arranger.Worker{ID: w.ID, Address: w.Address, Born: w.Born, Draining: true}
--- a/director/writer.go
+++ b/director/writer.go
@@ -1,9 +1,11 @@
 package director
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +22,12 @@
 	writePause = 4 * time.Millisecond
 	// writeRetry is the time before a write is repeated that the store turned away.
 	writeRetry = 120 * time.Millisecond
-	// maxRows is the number of progress rows in one transaction; the store takes 100 entries, the lease and the fleet's rows among them.
+	// maxRows is the number of rows in one transaction; the store takes 100 entries, the lease twice among them.
 	maxRows = 90
+	// maxBytes bounds the values of one transaction; the store takes 1 MB, in which values are a third longer than here.
+	maxBytes = 512 << 10
+	// rejectedPause is the time for which a row that the store does not take holds up nothing but what waits for it.
+	rejectedPause = 5 * time.Second
 	// pendingInterval is the least time between two records of the numbers of waiting jobs.
 	pendingInterval = 400 * time.Millisecond
 )
@@ -38,11 +44,16 @@
 	// changes counts what happened; recorded is the count up to which the store knows.
 	changes, recorded uint64
 	// removed are the jobs whose progress rows are to be removed.
-	removed        []string
-	workers        []registrar.KnownWorker
-	workersChanged bool
+	removed []string
+	// groups are the rows of the list of workers that are to be recorded, recordedGroups what the store holds of them.
+	groups         map[int]bool
+	recordedGroups map[string][]byte
 	pending        map[string]int
 	pendingAt      time.Duration
+	// oneByOne tells that the store did not take a batch, so that rows are written singly until the one at fault is found.
+	oneByOne bool
+	// rejected are the keys of rows that the store did not take, with the time of the last try.
+	rejected map[string]time.Duration
 }
 
 func (w *writer) init(version int64, taken time.Duration) {
@@ -50,6 +61,9 @@
 	w.renewed.Store(int64(taken))
 	w.wakeup = make(chan struct{}, 1)
 	w.dirty = map[string]bool{}
+	w.groups = map[int]bool{}
+	w.recordedGroups = map[string][]byte{}
+	w.rejected = map[string]time.Duration{}
 }
 
 // renewedAt returns when the latest write was sent that the store confirmed.
@@ -73,6 +87,20 @@
 	return w.changes
 }
 
+// changeGroup notes a row of the list of workers to be recorded.
+func (w *writer) changeGroup(group int) {
+	w.mu.Lock()
+	w.groups[group] = true
+	w.mu.Unlock()
+}
+
+// noteRecorded takes in what the store holds of the list of workers.
+func (w *writer) noteRecorded(row platform.Row) {
+	w.mu.Lock()
+	w.recordedGroups[row.Key] = row.Value
+	w.mu.Unlock()
+}
+
 // remove asks for the progress rows of jobs to be removed.
 func (w *writer) remove(ids []string) {
 	w.mu.Lock()
@@ -91,14 +119,25 @@
 // batch is one write.
 type batch struct {
 	ids        []string
+	groups     []int
 	changes    uint64
 	whole      bool
 	puts       []platform.Row
 	removes    []platform.Row
-	withFleet  bool
+	bytes      int
 	newPending map[string]int
 }
 
+// put adds a row unless the batch is full; an empty batch takes any row.
+func (b *batch) put(row platform.Row, limit int) bool {
+	if rows := len(b.puts); rows >= limit || rows > 0 && b.bytes+len(row.Value) > maxBytes {
+		return false
+	}
+	b.puts = append(b.puts, row)
+	b.bytes += len(row.Value)
+	return true
+}
+
 // write records changes and renews the lease until the context ends or the lease is lost.
 func (t *term) write(ctx context.Context) {
 	timer := time.NewTimer(renewInterval)
@@ -136,6 +175,13 @@
 		t.Logger.Warn("lease lost", "epoch", t.lease.Epoch)
 		t.cancel()
 		return false
+	case errors.Is(err, platform.ErrRejected):
+		t.returnBatch(b)
+		t.takeRejection(b, err)
+		if len(b.puts) == 0 {
+			sleeper.Sleep(ctx, writeRetry)
+		}
+		return ctx.Err() == nil
 	default:
 		t.returnBatch(b)
 		if ctx.Err() == nil {
@@ -146,6 +192,20 @@
 	}
 }
 
+// takeRejection finds the row that the store does not take: rows are written one by one, and the one at fault is set aside, so that it does not hold up the lease.
+func (t *term) takeRejection(b batch, err error) {
+	w := &t.writer
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(b.puts) != 1 {
+		w.oneByOne = true
+		t.Logger.Error("batch not taken by the store, writing its rows one by one", "rows", len(b.puts), "bytes", b.bytes, "error", err.Error())
+		return
+	}
+	w.rejected[b.puts[0].Key] = t.now()
+	t.Logger.Error("row not taken by the store, trying again later", "table", b.puts[0].Table, "key", b.puts[0].Key, "bytes", b.bytes, "error", err.Error())
+}
+
 // errDeposed means that another process holds the lease.
 var errDeposed = errors.New("another holds the lease")
 
@@ -222,41 +282,98 @@
 		w.dirty[id] = true
 	}
 	b := batch{changes: w.changes, whole: true}
+	t.addWorkers(&b)
+	t.addProgress(&b)
+	t.addRemovals(&b)
+	t.addPending(&b)
+	if b.whole && len(w.rejected) == 0 {
+		w.oneByOne = false
+	}
+	return b
+}
+
+// limit returns the number of rows that the next batch may hold.
+func (w *writer) limit() int {
+	if w.oneByOne {
+		return 1
+	}
+	return maxRows
+}
+
+// rests reports whether a row was not taken by the store a short while ago; what waits for it is not recorded meanwhile.
+func (w *writer) rests(b *batch, key string, now time.Duration) bool {
+	tried, ok := w.rejected[key]
+	if !ok || now-tried >= rejectedPause {
+		return false
+	}
+	b.whole = false
+	return true
+}
+
+// addWorkers adds the changed rows of the list of workers, which go first: a worker that is not recorded is not asked by the next owner.
+func (t *term) addWorkers(b *batch) {
+	w := &t.writer
+	groups := slices.Sorted(maps.Keys(w.groups))
+	for i, row := range t.workersRows(groups) {
+		group := groups[i]
+		switch {
+		case bytes.Equal(row.Value, w.recordedGroups[row.Key]):
+			delete(w.groups, group)
+		case w.rests(b, row.Key, t.now()):
+		case b.put(row, w.limit()):
+			delete(w.groups, group)
+			b.groups = append(b.groups, group)
+		default:
+			b.whole = false
+			return
+		}
+	}
+}
+
+// addProgress adds changed progress.
+func (t *term) addProgress(b *batch) {
+	w := &t.writer
 	for id := range w.dirty {
-		if len(b.ids) == maxRows {
+		if w.rests(b, id, t.now()) {
+			continue
+		}
+		if len(b.puts) >= w.limit() || !b.put(t.progressRow(id), w.limit()) {
 			b.whole = false
-			break
+			return
 		}
+		delete(w.dirty, id)
 		b.ids = append(b.ids, id)
 	}
-	for _, id := range b.ids {
-		delete(w.dirty, id)
-		b.puts = append(b.puts, t.progressRow(id))
+}
+
+// addRemovals adds progress rows that are no longer needed.
+func (t *term) addRemovals(b *batch) {
+	w := &t.writer
+	n := min(len(w.removed), w.limit()-len(b.puts))
+	for _, id := range w.removed[:n] {
+		b.removes = append(b.removes, registrar.ProgressRow(id))
 	}
-	if n := min(len(w.removed), maxRows-len(b.ids)); n > 0 {
-		for _, id := range w.removed[:n] {
-			b.removes = append(b.removes, registrar.ProgressRow(id))
-		}
-		w.removed = w.removed[n:]
-		b.whole = b.whole && len(w.removed) == 0
-	}
-	if w.workersChanged {
-		b.withFleet = true
-		w.workersChanged = false
-		b.puts = append(b.puts, platform.Row{
-			Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.WorkersKey, Value: registrar.Encode(w.workers),
-		})
-	}
-	if now := t.now(); now-w.pendingAt >= pendingInterval {
-		if pending := t.arranger.Pending(); !maps.Equal(pending, w.pending) {
-			b.newPending = pending
-			w.pendingAt = now
-			b.puts = append(b.puts, platform.Row{
-				Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.PendingKey, Value: registrar.Encode(pending),
-			})
-		}
+	w.removed = w.removed[n:]
+	b.whole = b.whole && len(w.removed) == 0
+}
+
+// addPending adds the numbers of waiting jobs, if they have changed and were not recorded a moment ago.
+func (t *term) addPending(b *batch) {
+	w := &t.writer
+	now := t.now()
+	if now-w.pendingAt < pendingInterval || w.oneByOne {
+		return
 	}
-	return b
+	pending := t.arranger.Pending()
+	if maps.Equal(pending, w.pending) {
+		return
+	}
+	row := platform.Row{Table: registrar.FleetTable, Part: registrar.OwnerPart, Key: registrar.PendingKey, Value: registrar.Encode(pending)}
+	if !b.put(row, maxRows+1) {
+		return
+	}
+	b.newPending = pending
+	w.pendingAt = now
 }
 
 func (t *term) progressRow(id string) platform.Row {
@@ -289,6 +406,12 @@
 	if b.newPending != nil {
 		w.pending = b.newPending
 	}
+	for _, row := range b.puts {
+		if row.Table == registrar.FleetTable && row.Key != registrar.PendingKey {
+			w.recordedGroups[row.Key] = row.Value
+		}
+		delete(w.rejected, row.Key)
+	}
 	w.mu.Unlock()
 	t.mu.Lock()
 	for _, s := range t.sessions {
@@ -308,8 +431,8 @@
 	for _, row := range b.removes {
 		w.removed = append(w.removed, row.Key)
 	}
-	if b.withFleet {
-		w.workersChanged = true
+	for _, group := range b.groups {
+		w.groups[group] = true
 	}
 	if b.newPending != nil {
 		w.pendingAt = 0
--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -34,8 +35,21 @@
 	LoseReplies int
 	// Delay holds each call back.
 	Delay time.Duration
+	// RejectRow is the TABLE/KEY of a row that no transaction may write.
+	RejectRow string
 }
 
+const (
+	// maxValue is the largest value of a row, in bytes.
+	maxValue = 64 << 10
+	// maxEntries is the number of entries in one transaction.
+	maxEntries = 100
+	// maxCallBytes bounds the body of a transaction and the values of one page.
+	maxCallBytes = 1 << 20
+	// maxPageRows is the number of rows in one page.
+	maxPageRows = 500
+)
+
 type rowKey struct{ table, part, key string }
 
 type storedRow struct {
@@ -157,7 +171,7 @@
 
 func (s *RowStore) serveTransaction(w http.ResponseWriter, r *http.Request) {
 	var t rowTransaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -198,17 +212,15 @@
 			answer.Rows = append(answer.Rows, current)
 		}
 	}
-	const maxValue = 64 << 10
 	for _, row := range slices.Concat(t.Upserts, t.Remove) {
 		parts[row.Part] = true
-		if len(row.Value) > maxValue {
+		if len(row.Value) > maxValue || row.Table+"/"+row.Key == s.faults.RejectRow {
 			return http.StatusBadRequest, rowAnswer{}
 		}
 		if row.Table == "op" || row.Table == "servers" {
 			return http.StatusForbidden, rowAnswer{}
 		}
 	}
-	const maxEntries = 100
 	if len(parts) > 1 || len(t.ExpectRev)+len(t.Upserts)+len(t.Remove) > maxEntries {
 		return http.StatusBadRequest, rowAnswer{}
 	}
@@ -239,13 +251,24 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(answer.Rows, func(x, y storedRow) int { return strings.Compare(x.Key, y.Key) })
-	const page = 500
-	if len(answer.Rows) > page {
-		answer.Rows, answer.HasMore = answer.Rows[:page], true
+	if n := pageLength(answer.Rows); n < len(answer.Rows) {
+		answer.Rows, answer.HasMore = answer.Rows[:n], true
 	}
 	answerJSON(w, http.StatusOK, answer)
 }
 
+// pageLength returns the number of rows that go into one page.
+func pageLength(rows []storedRow) int {
+	size := 0
+	for i, row := range rows {
+		size += base64.StdEncoding.EncodedLen(len(row.Value))
+		if i == maxPageRows || i > 0 && size > maxCallBytes {
+			return i
+		}
+	}
+	return len(rows)
+}
+
 func (s *RowStore) serveParts(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -27,12 +27,18 @@
 	OwnerPart = "owner"
 	// LeaseKey names the row of the lease.
 	LeaseKey = "lease"
-	// WorkersKey names the row with the workers that an owner has given orders to.
-	WorkersKey = "workers"
 	// PendingKey names the row with the numbers of waiting jobs.
 	PendingKey = "pending"
 )
 
+const (
+	// workerRows spreads the known workers over rows, so that no value nears its limit: 5,000 workers make rows of 6 KB.
+	workerRows = 64
+	// workersPrefix begins the keys of the rows with the workers that an owner has given orders to, workersEnd follows them all.
+	workersPrefix = "workers-"
+	workersEnd    = "workers."
+)
+
 // MaxRecord is the largest value of a row that the store takes, in bytes.
 const MaxRecord = 64 << 10
 
@@ -45,9 +51,13 @@
 
 // Part returns the part of a job's rows.
 func Part(jobID string) string {
+	return fmt.Sprintf("s%d", hashOf(jobID)%partCount)
+}
+
+func hashOf(text string) uint32 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(jobID))
-	return fmt.Sprintf("s%d", h.Sum32()%partCount)
+	_, _ = h.Write([]byte(text))
+	return h.Sum32()
 }
 
 // Parts returns all parts of the job table.
@@ -113,6 +123,17 @@
 	Born    int64  `json:"born"`
 }
 
+// WorkersGroup returns the number of the row that lists the worker.
+func WorkersGroup(workerID string) int { return int(hashOf(workerID) % workerRows) }
+
+// WorkersRow returns a row of the list of workers that an owner has given orders to.
+func WorkersRow(group int) platform.Row {
+	return platform.Row{Table: FleetTable, Part: OwnerPart, Key: fmt.Sprintf("%s%02d", workersPrefix, group)}
+}
+
+// WorkersKeys returns the range of keys of the list of workers, the second excluded.
+func WorkersKeys() (from, to string) { return workersPrefix, workersEnd }
+
 // Entry is an entry VM, as it describes itself from time to time.
 type Entry struct {
 	// Link is the address at which it takes calls of its peers.
