Settle starts that were decided but never sent

The store was away from 31 s, so the owner's six seconds without a renewal ended between the decision and the order; the goroutine that sends a start then returned without telling the core, which took the task for starting for good. Ruled out: the workers whose listing lapsed (the two tasks stood on workers that were listed all the time); dropped log lines (none were dropped, and drops are logged). Change: a start that may not be sent any more is told as surely not started, or as unsure after a lost first try. Beside it, the core itself stops a start without any outcome after 5 s, so that no order can be left hanging by its caller. Ends of runs that no longer count (a done gang's other members, cancelled jobs) are logged; they were the reason why starts outnumbered ends in the logs.

--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -21,6 +21,8 @@
 	claimSlack = 1500 * time.Millisecond
 	// stopRepeat is the time after which a stop that has shown no effect is ordered again.
 	stopRepeat = time.Second
+	// startLimit is the age at which a start without an outcome is stopped; both tries of a start end within 2 s.
+	startLimit = 5 * time.Second
 	// lateFactor times its objective is when a job loses all its worth to its caller.
 	lateFactor = 3
 )
@@ -53,7 +55,7 @@
 		}
 	}
 	a.leaveStalled(now)
-	a.repeatStops(now)
+	a.settleOrders(now)
 	a.startClaims(now)
 	units := a.units(now)
 	if len(units) == 0 {
@@ -185,10 +187,14 @@
 	return ranks
 }
 
-// repeatStops orders stops again that have shown no effect.
-func (a *Arranger) repeatStops(now time.Time) {
+// settleOrders orders stops again that have shown no effect, and stops runs whose start never got an outcome.
+func (a *Arranger) settleOrders(now time.Time) {
 	for _, w := range a.order {
 		for _, p := range w.places {
+			if p.state == placeStarting && now.Sub(p.began) >= startLimit {
+				a.options.Note("start without an outcome", "task", p.task.label(), "run", p.run, "worker", w.ID, "since", now.Sub(p.began).String())
+				a.stop(p, "start without an outcome")
+			}
 			if p.state != placeStopping {
 				continue
 			}
--- a/arranger/random_test.go
+++ b/arranger/random_test.go
@@ -67,7 +67,7 @@
 	p.jobs = append(p.jobs, id)
 }
 
-// follow answers orders: most are carried out, some refused, some go unanswered.
+// follow answers orders: most are carried out, some refused, some go unanswered, and of some nothing is ever heard.
 func (p *play) follow(o Orders) {
 	for _, s := range o.Starts {
 		switch p.random.IntN(12) {
@@ -75,6 +75,7 @@
 			p.StartRefused(p.now, s.Task, s.Run)
 		case 1:
 			p.StartUnsure(s.Task, s.Run)
+		case 2:
 		default:
 			p.StartConfirmed(p.now, s.Task, s.Run)
 		}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -226,6 +226,7 @@
 			a.dropPlace(p)
 		}
 	}
+	a.options.Note("run ended that no longer counts", "task", e.Task, "run", e.Run, "worker", w.ID, "how", e.How.String(), "number", e.Number)
 }
 
 // complete marks a task as done, or all tasks of a gang.
--- a/director/orders.go
+++ b/director/orders.go
@@ -47,14 +47,21 @@
 	}
 }
 
+// errMayNotAct means that the order was not sent, since the lease has not been renewed for too long.
+var errMayNotAct = fmt.Errorf("%w: lease not renewed in time", platform.ErrNotDone)
+
 // start sends a start until its outcome is known, or gives up on it.
 func (t *term) start(ctx context.Context, s *session, o arranger.StartOrder, start platform.StartOrder) {
 	var err error
 	lost := false
 	for range startTries {
-		if ctx.Err() != nil || !t.mayAct() {
+		if ctx.Err() != nil {
 			return
 		}
+		if !t.mayAct() {
+			err = errMayNotAct
+			break
+		}
 		_, err = t.Workers.Start(ctx, s.worker.ID, s.worker.Address, start)
 		if !errors.Is(err, platform.ErrUnknown) {
 			break
