--- a/arranger/arranger_bench_test.go
+++ b/arranger/arranger_bench_test.go
@@ -43,5 +43,57 @@
 	}
 }
 
-func BenchmarkDecision48Workers(b *testing.B)  { benchmarkDecision(b, 48) }
-func BenchmarkDecision350Workers(b *testing.B) { benchmarkDecision(b, 350) }
+func BenchmarkDecision48Workers(b *testing.B)   { benchmarkDecision(b, 48) }
+func BenchmarkDecision350Workers(b *testing.B)  { benchmarkDecision(b, 350) }
+func BenchmarkDecision1100Workers(b *testing.B) { benchmarkDecision(b, 1100) }
+
+// mixedLoad adds jobs like those of the large deployment: gangs within a rack, urgent gangs and wide batches.
+func mixedLoad(a *Arranger, now time.Time, tasks int) {
+	for i := 0; tasks > 0; i++ {
+		id := fmt.Sprintf("mixed-%d", i)
+		step := single(78, 1)
+		priority := 2
+		switch i % 6 {
+		case 0:
+			step, priority = gang(32, 1<<(i/6%4)), 1
+			step.SameRack = i/6%2 == 0
+		case 1, 2, 3, 4:
+			step, priority = gang(8, 1<<(i%4)), 0
+			step.SameRack = i%3 != 0
+		}
+		step.Estimate = 8 * time.Second
+		j := jobOf(id, priority, step)
+		j.Accepted = now
+		a.AddJob(now, j, Progress{}, false)
+		tasks -= step.Count
+	}
+}
+
+// BenchmarkMixedPlan1100Workers measures a plan with 20,000 tasks waiting for a full fleet after one worker has become free.
+func BenchmarkMixedPlan1100Workers(b *testing.B) {
+	const workers, waiting = 1100, 20_000
+	a := loaded(b, workers, 0)
+	now := start
+	mixedLoad(a, now, waiting)
+	a.Plan(now)
+	a.TakeOrders()
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		a.Plan(now)
+		a.TakeOrders()
+	}
+}
+
+// BenchmarkFill1100Workers measures the first plan of an owner that finds an empty fleet and 8,000 tasks.
+func BenchmarkFill1100Workers(b *testing.B) {
+	const workers, waiting = 1100, 8000
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		a := loaded(b, workers, -workers*8)
+		mixedLoad(a, start, waiting)
+		b.StartTimer()
+		a.Plan(start)
+	}
+}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -15,25 +16,11 @@
 	if w == nil {
 		w = &worker{strangers: map[string]Resources{}}
 		a.workers[info.ID] = w
-		a.order = append(a.order, w)
-		slices.SortFunc(a.order, func(x, y *worker) int { return compareText(x.ID, y.ID) })
+		at, _ := slices.BinarySearchFunc(a.order, info.ID, func(other *worker, id string) int { return strings.Compare(other.ID, id) })
+		a.order = slices.Insert(a.order, at, w)
 	}
 	a.changed = a.changed || w.Draining != info.Draining || w.Capacity != info.Capacity
 	w.Worker = info
-	if w.ID == "" {
-		w.ID = info.ID
-	}
-}
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
 }
 
 // ExpectReport tells that an earlier owner may have started tasks on the worker, under leases that have lapsed at the given time.
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -32,6 +32,11 @@
 	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.Accelerators <= r.Accelerators
 }
 
+// largest returns the larger of both in each kind of resource.
+func (r Resources) largest(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Holds returns how many times need fits into r.
 func (r Resources) Holds(need Resources) int {
 	const unbounded = 1 << 20
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -57,11 +57,12 @@
 	a.leaveStalled(now)
 	a.settleOrders(now)
 	a.startClaims(now)
-	units := a.units(now)
+	ranks := a.ranks()
+	units := a.units(now, ranks)
 	if len(units) == 0 {
 		return
 	}
-	s := a.newSurvey(now)
+	s := a.newSurvey(now, ranks)
 	for _, u := range units {
 		s.place(u)
 	}
@@ -84,8 +85,7 @@
 }
 
 // units returns the stages with waiting tasks, in the order in which they are placed.
-func (a *Arranger) units(now time.Time) []unit {
-	ranks := a.ranks()
+func (a *Arranger) units(now time.Time, ranks map[*job]rank) []unit {
 	gated := a.awaitsReports(now)
 	var units []unit
 	for _, j := range a.active {
--- a/arranger/reserve.go
+++ b/arranger/reserve.go
@@ -36,7 +36,7 @@
 // oweGang keeps accelerators for a gang that found no room; one that cannot be of use any more, or fits nowhere, keeps none.
 func (s *survey) oweGang(u unit) {
 	count := len(u.stage.tasks)
-	if u.hope == hopeless || !s.arranger.fleetHolds(u.stage, count) {
+	if u.hope == hopeless || s.emptyFleet(u.stage).all < count {
 		return
 	}
 	s.owed += count * u.stage.step.Need.Accelerators
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -130,6 +130,8 @@
 	// blockedUntil keeps new work away for a while after a refusal.
 	blockedUntil time.Time
 	health       health
+	// slot is the worker's room in the latest plan; nil if it took no part.
+	slot *slot
 }
 
 // remove drops a place.
