Bound an entry's idle connections by its descriptors

Cause: at 1,100 workers the owner had 3,871 descriptors in use of the 4,100 that a small VM has; up to four idle connections a worker were kept. The next 200 workers would have left none for clients. Change: a quarter of the settings' maxFds at most are idle connections, over all hosts; the least recently used goes. Calls under way take most of the rest, one a worker.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -38,6 +38,8 @@
 	stopReserve = 1500 * time.Millisecond
 	// contactLimit is the time without an answer of the store after which new connections should go elsewhere.
 	contactLimit = 2500 * time.Millisecond
+	// idlePart is the part of the descriptors for idle connections; at 1,100 workers an owner has as many calls under way and up to 400 starts.
+	idlePart = 4
 	// defaultGrace is the grace period if the settings give none.
 	defaultGrace = 6 * time.Second
 )
@@ -58,7 +60,7 @@
 
 // Run serves until the context ends, then drains within the grace period.
 func (h *Host) Run(ctx context.Context) error {
-	client, closeClient := platform.NewHTTPClient()
+	client, closeClient := platform.NewHTTPClient(idleConnections(h.Settings.Descriptors))
 	defer closeClient()
 	metrics := newMetrics()
 	direct := &platform.Store{Client: client, Address: h.Settings.StoreAddress, Timeout: checkTimeout}
@@ -90,6 +92,9 @@
 	return nil
 }
 
+// idleConnections returns how many of the descriptors connections without a call may take: the rest is for files, calls under way and clients.
+func idleConnections(descriptors int) int { return descriptors / idlePart }
+
 func (h *Host) direct(ctx context.Context, store *platform.Store, client *http.Client) {
 	d := &director.Director{
 		Node: h.Settings.Node, Incarnation: rand.Text(), Store: store,
