Look up the policies of queues by name

Cause: a configuration of 1,900 queues was applied by a scan of all active jobs for each queue, and each job that was taken in scanned all queues, both under the core's lock. Change: the policies of the configuration in force are kept by queue. Tests: those of configurations and policies, unchanged.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -55,10 +55,10 @@
 // SetGuarantees sets the accelerators guaranteed to the urgent jobs of each organisation.
 func (a *Arranger) SetGuarantees(guaranteed map[string]int) { a.guaranteed = guaranteed }
 
-// SetPolicy replaces the policy of a queue's jobs that have not ended.
-func (a *Arranger) SetPolicy(queue string, p Policy) {
+// SetPolicies replaces the policies of jobs that have not ended, by queue; jobs of other queues keep theirs.
+func (a *Arranger) SetPolicies(policies map[string]Policy) {
 	for _, j := range a.active {
-		if j.Queue == queue {
+		if p, ok := policies[j.Queue]; ok {
 			j.Policy = p
 		}
 	}
--- a/director/term.go
+++ b/director/term.go
@@ -55,6 +55,8 @@
 	// advising is held while the advice service answers; it takes one question of a VM at a time.
 	advising sync.Mutex
 	view     *follower.View
+	// policies are those of the configuration in force, by queue.
+	policies map[string]arranger.Policy
 	// succeedsItself tells that the earlier owner was a process of this VM, which has ended.
 	succeedsItself bool
 }
@@ -175,7 +177,7 @@
 			continue
 		}
 		j.Recorded = row.Version
-		if policy, ok := t.policyOf(j.Queue); ok {
+		if policy, ok := t.policies[j.Queue]; ok {
 			j.Policy = policy
 		}
 		p := recorded[j.ID]
@@ -204,21 +206,11 @@
 		guaranteed[o.Name] = o.Guaranteed
 	}
 	t.arranger.SetGuarantees(guaranteed)
+	t.policies = make(map[string]arranger.Policy, len(view.Queues))
 	for _, q := range view.Queues {
-		t.arranger.SetPolicy(q.Name, acceptor.PolicyOf(q))
+		t.policies[q.Name] = acceptor.PolicyOf(q)
 	}
-}
-
-func (t *term) policyOf(queue string) (arranger.Policy, bool) {
-	if t.view == nil {
-		return arranger.Policy{}, false
-	}
-	for _, q := range t.view.Queues {
-		if q.Name == queue {
-			return acceptor.PolicyOf(q), true
-		}
-	}
-	return arranger.Policy{}, false
+	t.arranger.SetPolicies(t.policies)
 }
 
 // plan decides and gives orders whenever something has changed.
