Move runs in time from workers that leave

Ruled out: taking a refused connection or a missing entry as the end of a worker (an entry also goes after 4.5 s of silence, as it did here); shorter leases (they have to outlast a loss of all VMs). Change: the core knows the earliest time at which a draining worker leaves. Runs that will not have ended by then, by their pace or else by the estimate, are stopped: those that keep checkpoints at once, others 0.4 s before the stop itself would be too late; gangs whole. They start elsewhere as soon as the end is listed.

--- /dev/null
+++ b/arranger/leave.go
@@ -0,0 +1,54 @@
+package arranger
+
+import "time"
+
+// Workers that leave answer the load of machines that are taken away at short
+// notice: what still runs there at the end is lost, and its tasks wait until the
+// worker's leases have lapsed.
+
+const (
+	// leaveSlack is the time before a worker leaves in which a stop may be under way, beside the worker's own time for it.
+	leaveSlack = 400 * time.Millisecond
+	// leastProgress is the percentage of a run from which its pace says more than the estimate.
+	leastProgress = 5
+)
+
+// leaveInTime stops runs that do not end before their worker leaves: those that keep a checkpoint at once, others when no more can come of them.
+func (a *Arranger) leaveInTime(now time.Time) {
+	for _, w := range a.order {
+		if !w.Draining || w.Leaves.IsZero() || !w.reachable {
+			continue
+		}
+		last := !now.Before(w.Leaves.Add(-a.options.StopTime - leaveSlack))
+		for _, p := range w.places {
+			step := p.task.stage.step
+			if p.state != placeStarting && p.state != placeRunning || p.task.done || !p.expectedEnd().After(w.Leaves) && !step.Lasting {
+				continue
+			}
+			if last || step.Checkpoints || step.Lasting {
+				a.options.Note("run does not end before its worker leaves", "task", p.task.label(), "run", p.run, "worker", w.ID,
+					"left", w.Leaves.Sub(now).String(), "percent", p.percent)
+				a.stopWhole(p, "its worker leaves")
+			}
+		}
+	}
+}
+
+// stopWhole stops a run, or all runs of its gang.
+func (a *Arranger) stopWhole(p *place, reason string) {
+	if p.task.stage.step.Gang {
+		a.breakGang(p.task.stage, reason)
+		return
+	}
+	a.stop(p, reason)
+}
+
+// expectedEnd returns when the run is done at its pace so far, or by the estimate of its step.
+func (p *place) expectedEnd() time.Time {
+	made := p.percent - p.firstPercent
+	if p.worked.IsZero() || made < leastProgress {
+		return p.began.Add(p.task.stage.step.Estimate)
+	}
+	pace := p.advanced.Sub(p.worked) / time.Duration(made)
+	return p.advanced.Add(pace * time.Duration(wholePercent-p.percent))
+}
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -125,6 +125,8 @@
 	Labels   []string
 	Capacity Resources
 	Draining bool
+	// Leaves is the earliest time at which a draining worker leaves; zero if that is not known.
+	Leaves time.Time
 }
 
 func (w Worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -55,6 +55,7 @@
 		}
 	}
 	a.leaveStalled(now)
+	a.leaveInTime(now)
 	a.settleOrders(now)
 	a.startClaims(now)
 	ranks := a.ranks()
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -143,7 +143,7 @@
 	if r.Percent > p.percent || p.advanced.IsZero() {
 		p.advanced = now
 		if p.worked.IsZero() && r.Percent > 0 {
-			p.worked = now
+			p.worked, p.firstPercent = now, r.Percent
 		}
 	}
 	p.percent = r.Percent
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -29,9 +29,10 @@
 	// confirmed is when the worker answered the latest order; reports asked for earlier say nothing about it.
 	confirmed time.Time
 	percent   int
-	// advanced is when the percentage last rose, worked when it was first above zero.
-	advanced time.Time
-	worked   time.Time
+	// advanced is when the percentage last rose, worked when it was first above zero, then at firstPercent.
+	advanced     time.Time
+	worked       time.Time
+	firstPercent int
 	// reported is when the run was last listed.
 	reported time.Time
 	// saved is when the latest checkpoint was seen.
--- a/director/fleet.go
+++ b/director/fleet.go
@@ -140,6 +140,9 @@
 	if known && before.Born != 0 && info.Born != 0 && before.Born > info.Born {
 		return
 	}
+	if w.Draining && w.Remaining > 0 {
+		info.Leaves = earliest(before.Leaves, time.Now().Add(w.Remaining))
+	}
 	// Of the workers that an earlier owner used only the address is known at first.
 	if known && before.Service != "" && before.Draining != info.Draining {
 		t.Logger.Info("worker changes state", "worker", w.ID, "draining", w.Draining, "remaining", w.Remaining.String())
@@ -148,6 +151,14 @@
 	t.arranger.SetWorker(info)
 }
 
+// earliest returns the earlier time; an entry that is read again says what was left when it was written.
+func earliest(x, y time.Time) time.Time {
+	if x.IsZero() || y.Before(x) {
+		return y
+	}
+	return x
+}
+
 // recordWorker asks for the record of a worker to be brought up to date.
 func (t *term) recordWorker(id string) {
 	t.writer.changeGroup(registrar.WorkersGroup(id))
