--- a/arranger/leave.go
+++ b/arranger/leave.go
@@ -13,23 +13,20 @@
 	leastProgress = 5
 )
 
-// leaveInTime stops runs that do not end before their worker leaves: those that keep a checkpoint at once, others when no more can come of them.
+// leaveInTime stops runs that do not end before their worker leaves, as late as it can be done: nobody else may use the room there meanwhile.
 func (a *Arranger) leaveInTime(now time.Time) {
 	for _, w := range a.order {
-		if !w.Draining || w.Leaves.IsZero() || !w.reachable {
+		if !w.Draining || w.Leaves.IsZero() || !w.reachable || now.Before(w.Leaves.Add(-a.options.StopTime-leaveSlack)) {
 			continue
 		}
-		last := !now.Before(w.Leaves.Add(-a.options.StopTime - leaveSlack))
 		for _, p := range w.places {
 			step := p.task.stage.step
 			if p.state != placeStarting && p.state != placeRunning || p.task.done || !p.expectedEnd().After(w.Leaves) && !step.Lasting {
 				continue
 			}
-			if last || step.Checkpoints || step.Lasting {
-				a.options.Note("run does not end before its worker leaves", "task", p.task.label(), "run", p.run, "worker", w.ID,
-					"left", w.Leaves.Sub(now).String(), "percent", p.percent)
-				a.stopWhole(p, "its worker leaves")
-			}
+			a.options.Note("run does not end before its worker leaves", "task", p.task.label(), "run", p.run, "worker", w.ID,
+				"left", w.Leaves.Sub(now).String(), "percent", p.percent)
+			a.stopWhole(p, "its worker leaves")
 		}
 	}
 }
