--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -31,6 +31,7 @@
 	for id, lapsed := range a.unheard {
 		if !now.Before(lapsed) {
 			delete(a.unheard, id)
+			a.options.Note("worker not heard, and all leases there have lapsed", "worker", id, "left", len(a.unheard))
 		}
 	}
 	return len(a.unheard) > 0
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -179,7 +179,10 @@
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.survey.slots) {
 		return true
 	}
-	return w.health.suspect(t.survey.now) && task.failures() > 0
+	if !w.health.suspect(t.survey.now) {
+		return false
+	}
+	return task.failures() > 0 || w.health.suspectFor(task.stage.job.ID, t.survey.now) && !task.stage.job.atFault()
 }
 
 // roomOf returns the room that is left on a worker in this trial.
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -206,6 +206,7 @@
 	switch e.How {
 	case EndedDone:
 		w.health.succeed()
+		t.stage.job.noteDone(w)
 		a.complete(now, t, p, mine)
 	case EndedFailed:
 		a.countFailure(now, w, t, e)
@@ -282,13 +283,22 @@
 	}
 }
 
+// atFault reports whether the job rather than the workers makes its runs fail.
+func (j *job) atFault() bool {
+	return len(j.failedOn) >= jobFaultWorkers && len(j.failedOn) > len(j.doneOn)
+}
+
 // blame holds a failure against the worker, or against the job once that has failed on several workers.
 func (a *Arranger) blame(now time.Time, w *worker, j *job) {
 	if j.failedOn == nil {
 		j.failedOn = map[string]bool{}
 	}
 	j.failedOn[w.ID] = true
-	if len(j.failedOn) >= jobFaultWorkers {
+	if j.atFault() {
+		if !j.blamed {
+			j.blamed = true
+			a.options.Note("job and not its workers is at fault", "job", j.ID, "failedOn", len(j.failedOn), "doneOn", len(j.doneOn))
+		}
 		for _, other := range a.order {
 			other.health.absolve(j.ID)
 		}
@@ -299,6 +309,14 @@
 	}
 }
 
+// noteDone notes that a task of the job was done on the worker.
+func (j *job) noteDone(w *worker) {
+	if j.doneOn == nil {
+		j.doneOn = map[string]bool{}
+	}
+	j.doneOn[w.ID] = true
+}
+
 // failures returns how many runs of the task, or of its gang, have failed.
 func (t *task) failures() int {
 	if !t.stage.step.Gang {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -100,8 +100,10 @@
 	// early marks a job that an earlier owner may have started tasks of.
 	early    bool
 	sequence int
-	// failedOn are the workers on which a task of the job has failed.
-	failedOn map[string]bool
+	// failedOn and doneOn are the workers on which a task of the job has failed and was done.
+	failedOn, doneOn map[string]bool
+	// blamed tells that the job was found to be at fault.
+	blamed bool
 }
 
 func (j *job) urgent() bool { return j.Policy.Priority == 0 }
