Keep free for urgent work what it came to use lately

The share was measured on fleets of 48 workers, where one job may take a third of them. Change: what is kept free is a quarter more than urgent work used at the most in the last 15 s, and four times its largest job, less what it uses now, 8 to 30% of the fleet; 30% until 15 s are known. Test, failing before: little urgent work leaves 85% of a fleet to others; much keeps 30%.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -29,6 +29,8 @@
 	// unheard are the workers on which an earlier owner may have started tasks, with the time when the last lease there has lapsed.
 	unheard map[string]time.Time
 	claims  [][]*place
+	// urgent remembers what urgent work used.
+	urgent urgentUse
 	// changed tells that something happened since the last plan that another plan could use.
 	changed  bool
 	sequence int
--- a/arranger/reserve_test.go
+++ b/arranger/reserve_test.go
@@ -64,3 +64,40 @@
 		t.Errorf("%d single tasks started beside a gang that fits nowhere, %d without", with, without)
 	}
 }
+
+func TestTheReserveFollowsWhatUrgentWorkUsedLately(t *testing.T) {
+	const racks, perRack, accelerators = 10, 12, 960
+	for _, test := range []struct {
+		name string
+		// gang is the number of whole workers that an urgent job uses each second.
+		gang        int
+		least, most int
+	}{
+		{"little urgent work", 1, accelerators * 85 / 100, accelerators * 92 / 100},
+		{"much urgent work", 40, accelerators * 60 / 100, accelerators * 70 / 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, racks, perRack)
+			for i := range peakSeconds + 1 {
+				step := gang(test.gang, 8)
+				step.SameRack = false
+				b.AddJob(b.now, jobOf(fmt.Sprintf("lookup-%d", i), 0, step), Progress{}, false)
+				starts := b.pass(time.Second)
+				b.confirm(starts)
+				for _, o := range starts.Starts {
+					b.end(o.Worker, o.Task, o.Run, EndedDone)
+				}
+			}
+			b.AddJob(b.now, jobOf("batch", 2, single(accelerators, 1)), Progress{}, false)
+			used := 0
+			for range 4 {
+				starts := b.pass(10 * time.Millisecond)
+				b.confirm(starts)
+				used += len(starts.Starts)
+			}
+			if used < test.least || used > test.most {
+				t.Errorf("%d of %d accelerators are used, want %d to %d", used, accelerators, test.least, test.most)
+			}
+		})
+	}
+}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -59,6 +59,9 @@
 	rackByName map[string]*rackRoom
 	// accelerators is the sum over the fleet, free what is neither occupied nor claimed of them.
 	accelerators, free int
+	// reserve are the accelerators that are kept free for urgent work, urgentUsed those that it uses.
+	reserve    float64
+	urgentUsed int
 	// owed are the accelerators that waiting gangs need which go before the units still to be placed.
 	owed int
 	// starting are the starts without an outcome.
@@ -95,6 +98,7 @@
 	for i, w := range a.order {
 		w.slot = nil
 		s.starting += w.starting()
+		s.urgentUsed += s.urgentUse(w)
 		if !w.takes(now) {
 			continue
 		}
@@ -107,9 +111,21 @@
 		s.addToRack(sl)
 	}
 	s.numberRacks()
+	s.noteUrgent(0)
 	return s
 }
 
+// urgentUse returns the accelerators that urgent jobs use or have claimed on the worker.
+func (s *survey) urgentUse(w *worker) int {
+	used := 0
+	for _, p := range w.places {
+		if r, active := s.ranks[p.task.stage.job]; active && r <= rankUrgent {
+			used += p.task.stage.step.Need.Accelerators
+		}
+	}
+	return used
+}
+
 func (s *survey) addToRack(sl *slot) {
 	r := s.rackByName[sl.worker.Rack]
 	if r == nil {
@@ -297,6 +313,9 @@
 		s.free -= need.Accelerators
 		group = append(group, pl)
 	}
+	if u.rank <= rankUrgent {
+		s.noteUrgent(len(tasks) * u.stage.step.Need.Accelerators)
+	}
 	if len(p.victims) == 0 && a.clear(s.now, group) {
 		s.starting += len(group)
 		a.start(s.now, group, "room was free")
