Write the list of workers again after a write without an answer

Cause, found by reading: a row of known workers equal to what the store held last was not written. After a write without an answer that may be carried out late, the store can come to hold the other value: a worker that is not vacant any more would be missing there, and the next owner would not wait for it (TWICE). Change: what the store holds of such a row counts as unknown until a write is confirmed. Beside it, the runs on a leaving worker are gone through on a copy, since stopping a gang may drop claims on the same worker. Test, failing before: a worker that becomes vacant in a write without an answer, and is not vacant any more.

--- a/arranger/leave.go
+++ b/arranger/leave.go
@@ -1,6 +1,9 @@
 package arranger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Workers that leave answer the load of machines that are taken away at short
 // notice: what still runs there at the end is lost, and its tasks wait until the
@@ -19,7 +22,8 @@
 		if !w.Draining || w.Leaves.IsZero() || !w.reachable || now.Before(w.Leaves.Add(-a.options.StopTime-leaveSlack)) {
 			continue
 		}
-		for _, p := range w.places {
+		// Stopping a gang may drop claims here.
+		for _, p := range slices.Clone(w.places) {
 			step := p.task.stage.step
 			if p.state != placeStarting && p.state != placeRunning || p.task.done || !p.expectedEnd().After(w.Leaves) && !step.Lasting {
 				continue
--- a/director/writer.go
+++ b/director/writer.go
@@ -433,6 +433,8 @@
 	}
 	for _, group := range b.groups {
 		w.groups[group] = true
+		// The write may be carried out late, so that nobody knows what the store holds.
+		delete(w.recordedGroups, registrar.WorkersRow(group).Key)
 	}
 	if b.newPending != nil {
 		w.pendingAt = 0
--- a/director/writer_test.go
+++ b/director/writer_test.go
@@ -1,9 +1,13 @@
 package director
 
 import (
+	"bytes"
 	"errors"
+	"log/slog"
 	"testing"
+	"time"
 
+	"github.com/snipelift/snipelift/arranger"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 )
@@ -34,3 +38,20 @@
 		})
 	}
 }
+
+func TestAListOfWorkersWithoutAnAnswerIsWrittenAgain(t *testing.T) {
+	o := newTerm(&Director{Logger: slog.New(slog.DiscardHandler), Clock: func() time.Duration { return time.Minute }}, registrar.Lease{Epoch: 1}, 1, 0)
+	s := &session{term: o, worker: arranger.Worker{ID: "w"}}
+	o.sessions["w"] = s
+	o.recordWorker("w")
+	first := o.nextBatch()
+	o.finishBatch(first)
+	// A write says that the worker is vacant and gets no answer; before it is settled the worker is not vacant any more.
+	s.setVacant(true)
+	o.returnBatch(o.nextBatch())
+	s.setVacant(false)
+	again := o.nextBatch()
+	if len(again.groups) != 1 || !bytes.Equal(again.puts[0].Value, first.puts[0].Value) {
+		t.Errorf("got groups %v, want the list of workers written again, since the store may come to hold the other one", again.groups)
+	}
+}
