Do not take a list of workers that is older than what is known

Cause, found by reading the change again: after a loss of history the list is read whole and then followed from the newer of the two versions. Ruled out: following from the older version, whose history is gone.

--- a/director/fleet.go
+++ b/director/fleet.go
@@ -49,6 +49,12 @@
 		sleeper.Sleep(ctx, loadPause)
 		return from
 	}
+	if page.Version < from {
+		// What changed in between is not told again: a worker that leaves would be taken for one that stays.
+		t.Logger.Warn("list of workers older than what is known, reading again", "from", from, "version", page.Version)
+		sleeper.Sleep(ctx, loadPause)
+		return from
+	}
 	t.Logger.Info("history of the list of workers gone, read anew", "from", from, "version", page.Version, "workers", len(page.Rows))
 	t.takeList(func() { t.takeWorkerRows(page.Rows) })
 	return max(from, page.Version)
