arranger: Place urgent work on the fastest workers

Placement did not know, so that most gangs ran at the pace of the slowest third.

Ruled out: the size of the reserve for urgent work.

Change: workers are rated by comparing the members of gangs, by least squares over the gangs of the last minute; one that is slow only for a moment keeps its rating. Urgent work goes to the fastest workers, other work to the slowest.

--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -154,7 +154,8 @@
 	if !fits && !t.preempts || !t.eligible(s, cand) {
 		return choice{}, false
 	}
-	c := choice{candidate: cand, lostWork: t.remoteDataCost(s, cand.worker), misfit: misfit(s, available) + rackPenalty*float64(t.pass.rackPreference(t.unit, cand.rack))}
+	c := choice{candidate: cand, lostWork: t.remoteDataCost(s, cand.worker)}
+	c.misfit = misfit(s, available) + rackPenalty*float64(t.pass.rackPreference(t.unit, cand.rack)) + t.pass.speedMisfit(t.unit, cand)
 	if cand.worker.health.suspect(t.pass.now) {
 		c.misfit += suspectPenalty
 	}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -147,6 +147,7 @@
 		}
 	}
 	p.percent = r.Percent
+	a.observePace(now, p)
 }
 
 // saveCheckpoint stores a checkpoint for the task; a checkpoint of one gang member is valid for the whole gang.
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -40,6 +40,7 @@
 	checkpointedAt time.Time
 	// stopOrderedAt is when the latest stop was ordered.
 	stopOrderedAt time.Time
+	pace          pace
 	// adopted means that a previous owner started the run.
 	adopted bool
 	reason  string
@@ -136,6 +137,12 @@
 	// blockedUntil is when the worker may get new work again after it refused a start.
 	blockedUntil time.Time
 	health       health
+	// logSpeed is the natural logarithm of the rated speed if speedRated is set; speedSum and speedCount are used
+	// to update it.
+	speedRated bool
+	logSpeed   float64
+	speedSum   float64
+	speedCount int
 	// candidate is the worker's state in the latest planning pass; nil if it took no part.
 	candidate *candidate
 }
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,8 @@
 type candidate struct {
 	worker *worker
 	rack   *rackCapacity
+	// speed is the worker's rated speed.
+	speed float64
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
 	// stopped.
 	free, freeAfterStops Resources
@@ -76,6 +79,8 @@
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangLoss caches the core-seconds lost by stopping a gang.
 	gangLoss map[*stage]float64
+	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
+	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
 	trials int
 }
@@ -97,7 +102,9 @@
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
 		unplaceable: map[unitClass]int{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
+		minSpeed: math.Inf(1),
 	}
+	a.speeds.update(now)
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
@@ -107,10 +114,11 @@
 			continue
 		}
 		cand := &all[i]
-		*cand = candidate{worker: w, free: w.free(), freeAfterStops: w.freeAfterStops()}
+		*cand = candidate{worker: w, speed: w.speed(), free: w.free(), freeAfterStops: w.freeAfterStops()}
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
 		ps.free += max(0, cand.free.Accelerators)
+		ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
 		ps.candidates = append(ps.candidates, cand)
 		ps.addToRack(cand)
 	}
