director: Pass the rated speeds of workers on to the next owner

Cause: a new owner rates all workers as equal and needs 10 s or more of progress to learn their speeds.

A gang that is caught by a worker that turns slow is late either way: detection takes two reports and the restart the whole run.

Change: the owner writes the ratings that differ from the average into one optional row, every 3 s at most and with the incarnations of the workers; a new owner starts from them.

--- a/arranger/speed.go
+++ b/arranger/speed.go
@@ -172,7 +172,30 @@
 	if !w.speedRated {
 		return ratingStep
 	}
-	return math.Pow(ratingStep, math.Round(w.logSpeed/math.Log(ratingStep)))
+	return math.Pow(ratingStep, float64(w.speedSteps()))
+}
+
+// speedSteps returns the number of rating steps by which the worker is faster than the average.
+func (w *worker) speedSteps() int { return int(math.Round(w.logSpeed / math.Log(ratingStep))) }
+
+// Speeds returns the rated speeds of the workers, by ID, in steps above the average; those of average speed are left
+// out.
+func (a *Arranger) Speeds() map[string]int {
+	speeds := map[string]int{}
+	for id, w := range a.workers {
+		if steps := w.speedSteps(); w.speedRated && steps != 0 {
+			speeds[id] = steps
+		}
+	}
+	return speeds
+}
+
+// RestoreSpeed sets the speed that a previous owner has rated the worker at, in steps above the average.
+func (a *Arranger) RestoreSpeed(id string, steps int) {
+	if w := a.workers[id]; w != nil && !w.speedRated {
+		w.logSpeed = float64(steps) * math.Log(ratingStep)
+		w.speedRated = true
+	}
 }
 
 // speedMisfit returns how badly the speed of the candidate suits the unit, in accelerators.
--- a/director/load.go
+++ b/director/load.go
@@ -40,7 +40,7 @@
 			return err
 		},
 		func() (err error) {
-			from, to := registrar.WorkerShardKeys()
+			from, to := registrar.WorkerKeys()
 			known, err = t.Store.Range(ctx, registrar.FleetTable, registrar.OwnerPartition, from, to)
 			return err
 		},
--- /dev/null
+++ b/director/speeds_test.go
@@ -0,0 +1,76 @@
+package director
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/platform"
+	"github.com/snipelift/snipelift/registrar"
+)
+
+// newFleetTerm returns a term with two workers that have reported.
+func newFleetTerm(t *testing.T, began time.Time, incarnation int64) *term {
+	t.Helper()
+	now := time.Minute
+	d := &Director{Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Clock: func() time.Duration { return now }}
+	owner := newTerm(d, registrar.Lease{Epoch: 1}, 1, now)
+	for _, id := range []string{"w1", "w2"} {
+		info := arranger.Worker{ID: id, Incarnation: incarnation, Service: "s", Capacity: arranger.Resources{Accelerators: 8}}
+		owner.sessions[id] = &session{term: owner, worker: info}
+		owner.arranger.SetWorker(info)
+		owner.arranger.HandleReport(began, arranger.Report{Worker: id, RequestedAt: began})
+	}
+	return owner
+}
+
+// TestTheNextOwnerKnowsTheSpeedOfWorkers replays a change of owner: the new one places urgent work on the worker that
+// its predecessor found to be fast, instead of learning the speeds anew.
+func TestTheNextOwnerKnowsTheSpeedOfWorkers(t *testing.T) {
+	began := time.Now()
+	for _, tt := range []struct {
+		fast        string
+		incarnation int64
+		want        string
+	}{
+		{fast: "w1", incarnation: 1, want: "w1"},
+		{fast: "w2", incarnation: 1, want: "w2"},
+		// The speeds are those of an earlier incarnation, so that the order of the workers decides.
+		{fast: "w2", incarnation: 2, want: "w1"},
+	} {
+		previous := newFleetTerm(t, began, 1)
+		for _, id := range []string{"w1", "w2"} {
+			steps := -2
+			if id == tt.fast {
+				steps = 2
+			}
+			previous.arranger.RestoreSpeed(id, steps)
+		}
+		var b batch
+		previous.addSpeeds(&b)
+		if len(b.puts) != 1 || b.puts[0].Key != registrar.SpeedsKey {
+			t.Fatalf("got rows %+v, want one with the speeds", b.puts)
+		}
+		next := newFleetTerm(t, began, tt.incarnation)
+		next.restoreSpeeds(b.puts[0])
+		next.arranger.AddJob(began, arranger.Job{
+			ID: "aaaaaaaaaaaaaaaa", Accepted: began, Policy: arranger.Policy{Service: "s"},
+			Steps: []arranger.Step{{Count: 1, Need: arranger.Resources{Accelerators: 1}}},
+		}, arranger.Progress{}, false)
+		next.arranger.Plan(began)
+		orders := next.arranger.TakeOrders().Starts
+		if len(orders) != 1 || orders[0].Worker != tt.want {
+			t.Errorf("%s was fast, incarnation %d now: got starts %+v, want one on %s", tt.fast, tt.incarnation, orders, tt.want)
+		}
+	}
+}
+
+func TestUnreadableSpeedsAreIgnored(t *testing.T) {
+	owner := newFleetTerm(t, time.Now(), 1)
+	owner.restoreSpeeds(platform.Row{Key: registrar.SpeedsKey, Value: []byte(`{"w1":`)})
+	if speeds := owner.arranger.Speeds(); len(speeds) != 0 {
+		t.Errorf("got speeds %v, want none", speeds)
+	}
+}
--- a/director/term.go
+++ b/director/term.go
@@ -126,7 +126,12 @@
 func (t *term) restoreWorkers(knownRows, listedRows []platform.Row) {
 	expired := time.Now().Add(t.maxInheritedLease())
 	recorded := map[string]bool{}
+	var speeds []platform.Row
 	for _, row := range knownRows {
+		if row.Key == registrar.SpeedsKey {
+			speeds = append(speeds, row)
+			continue
+		}
 		workers, err := registrar.Decode[[]registrar.KnownWorker](row)
 		if err != nil {
 			t.Logger.Error("list of workers unreadable", "key", row.Key, "error", err.Error())
@@ -141,6 +146,9 @@
 		}
 	}
 	t.applyWorkerList(listedRows)
+	for _, row := range speeds {
+		t.restoreSpeeds(row)
+	}
 	for id, s := range t.sessions {
 		// A new worker may have been sent tasks before it was recorded; a draining one without a record had been drained.
 		if recorded[id] || !s.worker.Draining {
--- a/director/writer.go
+++ b/director/writer.go
@@ -52,6 +52,9 @@
 	// pending are the numbers of waiting jobs by queue as they were written last, pendingWrittenAt the time of the last attempt.
 	pending          map[string]int
 	pendingWrittenAt time.Duration
+	// speeds are the speeds of workers as they were written last, speedsWrittenAt the time of the last attempt.
+	speeds          map[string]registrar.WorkerSpeed
+	speedsWrittenAt time.Duration
 	// singleRows means that the store rejected a batch, so that its rows are written one at a time to find the invalid one.
 	singleRows bool
 	// rejectedAt holds the times of the last attempts to write the rows that the store rejected, by key.
@@ -291,6 +294,7 @@
 	t.addProgress(&b)
 	t.addRemovals(&b)
 	t.addPending(&b)
+	t.addSpeeds(&b)
 	if b.complete && len(w.rejectedAt) == 0 {
 		w.singleRows = false
 	}
@@ -414,7 +418,7 @@
 		w.pending = b.newPending
 	}
 	for _, row := range b.puts {
-		if row.Table == registrar.FleetTable && row.Key != registrar.PendingKey {
+		if row.Table == registrar.FleetTable && row.Key != registrar.PendingKey && row.Key != registrar.SpeedsKey {
 			w.recordedShards[row.Key] = row.Value
 		}
 		delete(w.rejectedAt, row.Key)
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -29,6 +29,8 @@
 	LeaseKey = "lease"
 	// PendingKey is the key of the row with the number of pending jobs of each queue.
 	PendingKey = "pending"
+	// SpeedsKey is the key of the row with the rated speeds of the workers, as a map of their IDs to WorkerSpeed.
+	SpeedsKey = "speeds"
 )
 
 const (
@@ -124,6 +126,13 @@
 	Incarnation int64  `json:"born"`
 }
 
+// WorkerSpeed is the rated speed of an incarnation of a worker.
+type WorkerSpeed struct {
+	Incarnation int64 `json:"born"`
+	// Steps is the number of rating steps above the average speed.
+	Steps int `json:"steps"`
+}
+
 // WorkerShard returns the number of the shard that lists the worker.
 func WorkerShard(workerID string) int { return int(hash(workerID) % workerShards) }
 
@@ -132,8 +141,8 @@
 	return platform.Row{Table: FleetTable, Partition: OwnerPartition, Key: fmt.Sprintf("%s%02d", workerShardPrefix, shard)}
 }
 
-// WorkerShardKeys returns the half-open range [from, to) of the keys of the known workers.
-func WorkerShardKeys() (from, to string) { return workerShardPrefix, workerShardEnd }
+// WorkerKeys returns the half-open range [from, to) of the keys of the known workers and of their speeds.
+func WorkerKeys() (from, to string) { return SpeedsKey, workerShardEnd }
 
 // Entry is the record that an entry VM periodically writes about itself.
 type Entry struct {
