director: Wait no longer for a silent worker than its leases can last

Cause: after a change of the owner no inherited job starts until each worker has reported or its leases have surely expired.

Ruled out: not waiting for such a worker at all. Its announced end is a minimum, its removal from the list may be silence, and starts are not recorded: nothing proves that no task runs.

Change: the wait uses the length of the leases as workers accept them. The times are on the workers' own clocks and absolute, so that late execution of a grant extends nothing.

--- a/director/session.go
+++ b/director/session.go
@@ -88,7 +88,7 @@
 
 // extendLease returns the end of a lease granted now, on the worker's clock.
 func (s *session) extendLease() time.Duration {
-	until := s.estimateClock() + min(workerLeaseDuration, s.term.Bounds.MaxLease)
+	until := s.estimateClock() + s.term.leaseDuration()
 	s.leaseUntil = max(s.leaseUntil, until)
 	return until
 }
--- a/director/term.go
+++ b/director/term.go
@@ -164,9 +164,12 @@
 	if t.restartedOwner || t.lease.Epoch == 1 {
 		overlap = 0
 	}
-	return time.Duration(float64(overlap+workerLeaseDuration)*clockDriftFactor) + leaseExpiryMargin
+	return time.Duration(float64(overlap+t.leaseDuration())*clockDriftFactor) + leaseExpiryMargin
 }
 
+// leaseDuration returns the length of the leases granted to workers, which shorten longer ones.
+func (t *term) leaseDuration() time.Duration { return min(workerLeaseDuration, t.Bounds.MaxLease) }
+
 // applyJobRows adds accepted jobs, with their recorded progress, and applies cancellation requests; the caller holds the term's mutex.
 func (t *term) applyJobRows(rows []platform.Row, recorded map[string]registrar.Progress) {
 	now := time.Now()
