--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -32,7 +32,8 @@
 	claims         [][]*place
 	// urgentUsage records the recent use of accelerators by urgent work.
 	urgentUsage usageHistory
-	speeds      speedRatings
+	// speeds rates the speed of the workers.
+	speeds speedRatings
 	// changed is set when an event since the last planning pass may allow new placements.
 	changed  bool
 	sequence int
