storer: Report an object that is larger than the limit

Cause: from the list in DESIGN.md: Get cut an object off at MaxObjectBytes and returned the part as if it were the whole, such as half of a checkpoint.

Change: one byte more is read, and a larger object gives ErrTooLarge. Removed from the same list: fields that were written and never read, arranger.Job.RowVersion, director's term.version, and the time of a checkpoint, which lossOfRun compared without effect.

--- a/arranger/displace.go
+++ b/arranger/displace.go
@@ -97,13 +97,9 @@
 // lossOfRun returns the core-seconds lost by stopping the run: the work since its start, unless the step writes
 // checkpoints, and the restart.
 func (ps *pass) lossOfRun(p *place) float64 {
-	since := p.placedAt
-	if p.task.stage.step.Checkpoints && p.checkpointedAt.After(since) {
-		since = p.checkpointedAt
-	}
 	lost := restartCost
 	if !p.task.stage.step.Checkpoints {
-		lost += ps.now.Sub(since)
+		lost += ps.now.Sub(p.placedAt)
 	}
 	return lost.Seconds() * p.task.stage.step.Need.cores()
 }
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -102,8 +102,6 @@
 	FirstDue    time.Time     `json:"first,omitzero"`
 	Interval    time.Duration `json:"interval,omitempty"`
 	Policy      Policy        `json:"policy"`
-	// RowVersion is the version of the row that records the job's acceptance.
-	RowVersion int64 `json:"-"`
 }
 
 // Policy is the scheduling policy of a queue.
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -137,7 +137,6 @@
 	}
 	if r.Checkpoint != "" && r.Checkpoint != p.task.checkpoint {
 		a.saveCheckpoint(p.task, r.Checkpoint)
-		p.checkpointedAt = now
 	}
 	p.reportedAt = now
 	if r.Percent > p.percent || p.progressedAt.IsZero() {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -36,8 +36,6 @@
 	firstPercent    int
 	// reportedAt is when a report last listed the run.
 	reportedAt time.Time
-	// checkpointedAt is when the latest checkpoint was reported.
-	checkpointedAt time.Time
 	// stopOrderedAt is when the latest stop was ordered.
 	stopOrderedAt time.Time
 	pace          pace
--- a/director/term.go
+++ b/director/term.go
@@ -37,7 +37,6 @@
 	// baseCtx ends with the term; it is the parent context of all sessions.
 	baseCtx       context.Context //nolint:containedctx // Callers without a context open sessions as well.
 	lease         registrar.Lease
-	version       int64
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
 	planRequested chan struct{}
@@ -70,7 +69,7 @@
 
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
-		Director: d, lease: lease, version: version, inheritedVersion: version,
+		Director: d, lease: lease, inheritedVersion: version,
 		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 	}
 	t.arranger = arranger.New(arranger.Options{
@@ -190,7 +189,6 @@
 			t.Logger.Error("job unreadable", "job", row.Key, "error", err.Error())
 			continue
 		}
-		job.RowVersion = row.Version
 		if policy, ok := t.policies[job.Queue]; ok {
 			job.Policy = policy
 		}
--- a/storer/s3.go
+++ b/storer/s3.go
@@ -26,9 +26,12 @@
 	Timeout time.Duration
 }
 
-// MaxObjectBytes is the maximum number of bytes that Get reads of an object.
+// MaxObjectBytes is the maximum size in bytes of an object that Get returns.
 const MaxObjectBytes = 64 << 20
 
+// ErrTooLarge means that an object is larger than MaxObjectBytes.
+var ErrTooLarge = errors.New("object too large")
+
 type bucket struct {
 	options S3Options
 	client  *s3.Client
@@ -80,9 +83,12 @@
 		return nil, fmt.Errorf("%w: get object %s: %w", ErrUnavailable, key, err)
 	}
 	defer func() { _ = out.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(out.Body, MaxObjectBytes))
+	data, err := io.ReadAll(io.LimitReader(out.Body, MaxObjectBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: read object %s: %w", ErrUnavailable, key, err)
 	}
+	if len(data) > MaxObjectBytes {
+		return nil, fmt.Errorf("%w: %s has more than %d bytes", ErrTooLarge, key, MaxObjectBytes)
+	}
 	return data, nil
 }
