--- a/director/speeds.go
+++ b/director/speeds.go
@@ -11,7 +11,8 @@
 // minSpeedsInterval is the minimum time between two writes of the rated speeds of the workers.
 const minSpeedsInterval = 3 * time.Second
 
-// addSpeeds adds the rated speeds of the workers, so that the next owner need not learn them anew.
+// addSpeeds adds the rated speeds of the workers, so that the next owner need not learn them anew; if the write fails,
+// they are written with their next change.
 func (t *term) addSpeeds(b *batch) {
 	w := &t.writer
 	now := t.now()
