arranger: Show that a fleet in quarantine runs nothing

Cause: no limit applies to the share of the fleet in quarantine, so that waiting work has no candidate until the first quarantine ends.

Ruled out: other exclusions: all workers of the test are reachable, have reported and are empty.

The product code is unchanged.

Conclusion: a job that waits past the 3 s of the rule needs every worker that can run it in quarantine; with a part of the fleet excluded the rest still runs it, if it has room.

--- /dev/null
+++ b/arranger/idle_faults_test.go
@@ -0,0 +1,79 @@
+package arranger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// idleLimit is how long a task may have nothing running while more than half of the fleet is free.
+	idleLimit = 3 * time.Second
+	// idleTestLength bounds the wait for the first start.
+	idleTestLength = 40 * time.Second
+)
+
+// waitForStarts plans every 150 ms until a start of the job is ordered, lets all workers but the silent ones
+// report their confirmed runs once a second, and returns the wait.
+func (h *harness) waitForStarts(job string, silent map[string]bool) time.Duration {
+	h.t.Helper()
+	began, reported := h.now, h.now
+	for h.now.Sub(began) < idleTestLength {
+		o := h.planAfter(150 * time.Millisecond)
+		for _, s := range o.Stops {
+			if !silent[s.Worker] {
+				h.StopConfirmed(h.now, s.Task, s.Run, s.Worker)
+			}
+		}
+		for _, s := range o.Starts {
+			if s.Task.Job == job {
+				return h.now.Sub(began)
+			}
+		}
+		h.confirmStarts(o)
+		if h.now.Sub(reported) >= time.Second {
+			reported = h.now
+			h.reportExcept(silent, 0)
+		}
+	}
+	return idleTestLength
+}
+
+// reportExcept lets all workers but the silent ones list their runs that are not being stopped, with the progress.
+func (h *harness) reportExcept(silent map[string]bool, percent int) {
+	for _, w := range append([]*worker(nil), h.sortedWorkers...) {
+		if silent[w.ID] {
+			continue
+		}
+		r := Report{Worker: w.ID, RequestedAt: h.now}
+		for _, p := range w.places {
+			if p.state == placeRunning {
+				r.Running = append(r.Running, RunReport{Task: p.task.label(), Run: p.run, Percent: percent})
+			}
+		}
+		h.HandleReport(h.now, r)
+	}
+}
+
+func (h *harness) requireStart(job string, silent map[string]bool) {
+	h.t.Helper()
+	if wait := h.waitForStarts(job, silent); wait > idleLimit {
+		h.t.Errorf("%s waited %s for its first start (the test ends after %s), want %s at most", job, wait, idleTestLength, idleLimit)
+	}
+}
+
+// When no other worker is left, a worker in quarantine is better than none.
+func TestAFleetInQuarantineStillRunsWaitingWork(t *testing.T) {
+	for _, times := range []int{1, 2, 3, 4} {
+		t.Run(fmt.Sprintf("quarantined %d times", times), func(t *testing.T) {
+			h := newHarness(t, 3, 4)
+			for _, w := range h.sortedWorkers {
+				for range times {
+					w.health.quarantine(h.now)
+				}
+			}
+			h.AddJob(h.now, jobOf("waiting", 1, single(1, 1)), Progress{}, false)
+			h.requireStart("waiting", nil)
+		})
+	}
+}
