arranger: Show that one stall counts as several quarantines

Cause: stopStalledRuns calls quarantine for each stalled run of a worker in the same pass, and each call doubles the time.

Ruled out: repeated stalls: the test has a single one.

The product code is unchanged.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -77,3 +77,20 @@
 		})
 	}
 }
+
+// All runs of a worker stall at once when the worker does, so that counting each of them would double the time of
+// the quarantine several times.
+func TestOneStallQuarantinesAWorkerOnce(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	h.SetReachable("w0-1", false)
+	h.AddJob(h.now, jobOf("batch", 1, single(5, 1)), Progress{}, false)
+	h.confirmStarts(h.planAfter(0))
+	for range 5 {
+		h.now = h.now.Add(time.Second)
+		h.reportExcept(map[string]bool{"w0-1": true}, 10)
+		h.planAfter(0)
+	}
+	if got := h.workers["w0-0"].health.quarantineTime; got != minQuarantine {
+		t.Errorf("quarantined for %s after one stall, want %s", got, minQuarantine)
+	}
+}
