arranger: Show that a pause of the owner quarantines workers

Cause: stall detection compares arrival times, so that an answer that was sent before a pause of the owner and is read after it seems to show no progress for the length of the pause.

Ruled out: answers that show progress: they set progressedAt at their arrival and stop nothing.

The product code is unchanged.

Conclusion: the owner needs an answer in flight with the same percentages as the one before. How frequent that is on real machines is not measured.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -94,3 +94,34 @@
 		t.Errorf("quarantined for %s after one stall, want %s", got, minQuarantine)
 	}
 }
+
+// A worker answers a poll early when a run ends, so that the answer may show no progress since the one before; the
+// owner reads it only after its pause.
+func TestAnOwnerThatWasPausedDoesNotTakeRunsForStalled(t *testing.T) {
+	h := newHarness(t, 3, 4)
+	h.AddJob(h.now, jobOf("batch", 1, single(48, 2)), Progress{}, false)
+	h.confirmStarts(h.planAfter(0))
+	h.now = h.now.Add(time.Second)
+	h.reportExcept(nil, 10)
+	h.planAfter(0)
+	requested := h.now.Add(10 * time.Millisecond)
+	h.now = h.now.Add(3 * time.Second)
+	for _, w := range h.sortedWorkers {
+		r := Report{Worker: w.ID, RequestedAt: requested}
+		for _, p := range w.places {
+			r.Running = append(r.Running, RunReport{Task: p.task.label(), Run: p.run, Percent: 10})
+		}
+		h.HandleReport(h.now, r)
+	}
+	h.planAfter(0)
+	quarantined, longest := 0, time.Duration(0)
+	for _, w := range h.sortedWorkers {
+		if !w.health.usable(h.now) {
+			quarantined++
+			longest = max(longest, w.health.quarantineTime)
+		}
+	}
+	if quarantined > 0 {
+		t.Errorf("%d of %d workers quarantined after a pause of the owner, for up to %s", quarantined, len(h.sortedWorkers), longest)
+	}
+}
