arranger: Show that slow runs are taken for stalled

Cause: a run whose percentage rises less often than once in 2.5 s is stopped as stalled and its worker is quarantined; without checkpoints only in its first 3 s of progress, with checkpoints at any time.

Ruled out: a run of 300 s, polled once a second on the second: it passes, since two reports without a rise are only 2 s apart.

The product code is unchanged.

Conclusion: such a run is started again and again and quarantines one worker each time. It applies to tasks or spread gangs of more than 250 s, and to shorter ones on workers that are slowed by load.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -125,3 +125,20 @@
 		t.Errorf("%d of %d workers quarantined after a pause of the owner, for up to %s", quarantined, len(h.sortedWorkers), longest)
 	}
 }
+
+// A run of 400 s gains a percent every 4 s, as does a gang of 134 s that is spread over racks.
+func TestARunWhosePercentTakesLongerThanTheStallTimeoutIsNotStopped(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	step := single(1, 1)
+	step.Estimate = 400 * time.Second
+	h.AddJob(h.now, jobOf("long", 1, step), Progress{}, false)
+	h.confirmStarts(h.planAfter(0))
+	began := h.now
+	for range 20 {
+		h.now = h.now.Add(time.Second)
+		h.reportExcept(nil, int(h.now.Sub(began)/(4*time.Second)))
+		if o := h.planAfter(0); len(o.Stops) > 0 {
+			t.Fatalf("stopped after %s: %s", h.now.Sub(began), o.Stops[0].Reason)
+		}
+	}
+}
