arranger: Show that a gang waits for a rack that has no room

Cause: bestPacking spreads a gang only if no rack could hold it when empty, and emptyCapacity counts all listed workers: also silent, quarantined, unreported and partly used ones.

Ruled out: lack of room: 44 of the 48 workers of the test are empty, the gang needs 12.

The product code is unchanged.

Conclusion: the wait lasts as long as the exclusion or the other work does. It applies to gangs close to the size of a rack; smaller ones need as many unusable workers in every rack as they leave over. A spread gang runs slower, so that waiting may be right for the case of a worker in use, for a while.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -142,3 +142,34 @@
 		}
 	}
 }
+
+// The workers that can't take work now don't count towards the racks that a gang may wait for.
+func TestAGangThatFitsNoUsableRackIsSpread(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		exclude func(h *harness, w *worker)
+	}{
+		{"one silent worker in each rack", func(h *harness, w *worker) { h.SetReachable(w.ID, false) }},
+		{"one quarantined worker in each rack", func(_ *harness, w *worker) { w.health.quarantinedUntil = start.Add(time.Hour) }},
+		{"one worker in use in each rack", func(h *harness, w *worker) {
+			id := "use-" + w.ID
+			step := single(1, 1)
+			step.Requires = w.ID
+			w.Labels = append(w.Labels, w.ID)
+			h.AddJob(h.now, jobOf(id, 1, step), Progress{}, false)
+			h.confirmStarts(h.planAfter(0))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 4, 12)
+			silent := map[string]bool{}
+			for rack := range 4 {
+				w := h.workers[fmt.Sprintf("w%d-5", rack)]
+				test.exclude(h, w)
+				silent[w.ID] = !w.reachable
+			}
+			h.AddJob(h.now, jobOf("gang", 1, gang(12, 8)), Progress{}, false)
+			h.requireStart("gang", silent)
+		})
+	}
+}
