arranger: Show that tasks avoid a fleet of suspects

Cause: a task with a failed run, or a gang with one, avoids every worker that failed a run in the last 6 s, without regard to whether others are left.

Ruled out: quarantine: the test lifts it.

The product code is unchanged.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -173,3 +173,29 @@
 		})
 	}
 }
+
+// After all workers have failed one run each, tasks with a failed run have no other workers.
+func TestAFleetOfSuspectWorkersStillRunsFailedTasks(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		step Step
+	}{{"single tasks", single(12, 8)}, {"gang", gang(12, 8)}} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 12)
+			j := jobOf("failing", 1, test.step)
+			j.Policy.MaxAttempts = 9
+			h.AddJob(h.now, j, Progress{}, false)
+			o := h.planAfter(0)
+			h.confirmStarts(o)
+			for _, w := range h.sortedWorkers {
+				w.health.recordFailure("other", h.now)
+			}
+			s := o.Starts[0]
+			h.endRun(s.Worker, s.Task, s.Run, EndedFailed)
+			for _, w := range h.sortedWorkers {
+				w.health.quarantinedUntil = time.Time{}
+			}
+			h.requireStart("failing", nil)
+		})
+	}
+}
