arranger: Show that a gang blocks others of its class

Cause: a gang that finds no capacity marks its class as unplaceable for the pass, although it was its own failures that kept it from the workers.

Ruled out: lack of room: the four workers are empty.

The product code is unchanged.

Conclusion: the test has few workers; on a large fleet the first gang finds others.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -199,3 +199,20 @@
 		})
 	}
 }
+
+// A gang with a failed run avoids the suspect workers; another gang of its class need not.
+func TestAGangThatAvoidsSuspectWorkersBlocksNoOther(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	failing := jobOf("failing", 1, gang(4, 8))
+	failing.Policy.MaxAttempts = 9
+	h.AddJob(h.now, failing, Progress{}, false)
+	o := h.planAfter(0)
+	h.confirmStarts(o)
+	for _, s := range o.Starts {
+		h.endRun(s.Worker, s.Task, s.Run, map[bool]Outcome{true: EndedFailed, false: EndedInterrupted}[s.Task.Index < 2])
+	}
+	other := jobOf("other", 1, gang(4, 8))
+	other.Accepted = start.Add(time.Second)
+	h.AddJob(h.now, other, Progress{}, false)
+	h.requireStart("other", nil)
+}
