arranger: Show that unanswered starts delay all lower ranks

Cause: mustDeferStart counts all starts without an outcome, whatever their workers, and lets nothing that is not urgent start beyond 400.

Ruled out: lack of room: 400 of 1,152 accelerators are in use.

The product code is unchanged.

Conclusion: in the director a start has an outcome within 1.26 s (300 ms, 60 ms, 900 ms), so that this needs a steady stream of unanswered starts.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -216,3 +216,12 @@
 	h.AddJob(h.now, other, Progress{}, false)
 	h.requireStart("other", nil)
 }
+
+// Starts without an answer on one part of the fleet leave the rest of it free.
+func TestStartsWithoutAnAnswerDoNotKeepTheFleetIdle(t *testing.T) {
+	h := newHarness(t, 12, 12)
+	h.AddJob(h.now, jobOf("wide", 1, single(maxPendingStarts, 1)), Progress{}, false)
+	h.planAfter(0)
+	h.AddJob(h.now, jobOf("waiting", 1, single(1, 1)), Progress{}, false)
+	h.requireStart("waiting", nil)
+}
