arranger: Show that a gang returns to a worker that leaves starts unanswered

Cause: StartOutcomeUnknown does not keep new work from the worker, unlike StartRefused, so that the next attempt of the gang chooses it again.

Ruled out: lack of others: 41 of the 48 workers are not part of the attempt.

The product code is unchanged.

Conclusion: the worker has to answer polls and stops, but not starts; one that answers nothing becomes unreachable. Where it does, members of the job run for a moment in each attempt, none of them to any effect.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -225,3 +225,43 @@
 	h.AddJob(h.now, jobOf("waiting", 1, single(1, 1)), Progress{}, false)
 	h.requireStart("waiting", nil)
 }
+
+// A worker that leaves starts unanswered is chosen again for the next attempt of the gang unless it is avoided.
+func TestAGangDoesNotReturnToAWorkerThatDoesNotAnswerStarts(t *testing.T) {
+	h := newHarness(t, 4, 12)
+	h.AddJob(h.now, jobOf("gang", 1, gang(7, 8)), Progress{}, false)
+	attempts, began, requested := 0, h.now, h.now
+	for h.now.Sub(began) < idleTestLength {
+		o := h.planAfter(150 * time.Millisecond)
+		missed := false
+		for _, s := range o.Starts {
+			if s.Worker == "w0-3" {
+				missed = true
+				continue
+			}
+			h.StartConfirmed(h.now, s.Task, s.Run)
+		}
+		if len(o.Starts) > 0 {
+			attempts++
+			if !missed {
+				break
+			}
+			h.now = h.now.Add(1260 * time.Millisecond)
+			for _, s := range o.Starts {
+				if s.Worker == "w0-3" {
+					h.StartOutcomeUnknown(s.Task, s.Run)
+				}
+			}
+		}
+		for _, s := range append(o.Stops, h.TakeOrders().Stops...) {
+			h.StopConfirmed(h.now, s.Task, s.Run, s.Worker)
+		}
+		if h.now.Sub(requested) >= time.Second {
+			requested = h.now
+			h.reportExcept(nil, 0)
+		}
+	}
+	if wait := h.now.Sub(began); wait > idleLimit {
+		t.Errorf("no complete start of the gang for %s, in %d attempts; want %s at most", wait, attempts, idleLimit)
+	}
+}
