arranger: Show that the reserve counts planned workers only

Cause: exceedsReserve applies from half of the use of the workers in planning on, so that workers in quarantine lower this limit below half of the fleet.

Ruled out: lack of room: 18 accelerators on usable workers are free, the task needs 4.

The product code is unchanged.

Figures: in virtual time, a plan every 150 ms, 30 of 80 accelerators in use, 4 of 10 workers in quarantine: the task waits 15 s, until the window of urgent use is filled.

Conclusion: any exclusion has this effect, not only quarantine. With a waiting gang the reserve grows by up to a quarter of the planned accelerators.

--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -265,3 +265,16 @@
 		t.Errorf("no complete start of the gang for %s, in %d attempts; want %s at most", wait, attempts, idleLimit)
 	}
 }
+
+// The reserve applies from half of the use of the workers in planning on, so that workers in quarantine lower the
+// limit for the whole fleet.
+func TestTheReserveDoesNotHoldBackWorkBelowHalfOfTheFleet(t *testing.T) {
+	h := newHarness(t, 1, 10)
+	for _, w := range h.sortedWorkers[:4] {
+		w.health.quarantinedUntil = start.Add(time.Hour)
+	}
+	h.AddJob(h.now, jobOf("running", 1, single(30, 1)), Progress{}, false)
+	h.confirmStarts(h.planAfter(0))
+	h.AddJob(h.now, jobOf("waiting", 1, single(1, 4)), Progress{}, false)
+	h.requireStart("waiting", nil)
+}
