arranger: Log why a unit waits and which workers are left out

No line says why waiting work is not placed or which workers a planning pass leaves out, so that the causes under suspicion can't be told apart from the logs. A gang with a remaining place, and an inherited job, are not even looked at by a pass. A quarantine for a stalled run is not logged, and neither is the end of one.

Ruled out: logging where a unit is skipped, which a backlog of thousands would repeat with each plan; and a search with each plan, for the same reason.

Change: a pass notes on the stage what blocked it. About once a second, the stages that have had nothing running for a second are searched; "unit waits" tells the reason for the eight that wait longest, each at most every 5 s. "units wait" and "workers excluded from planning" give the counts, every 5 s or when the workers change by a twentieth. "worker quarantined" has its cause and is logged for stalls too, "quarantine ended" follows. Waits and Counts return the same for metrics. No decision changes.

Conclusion: the log tells apart jobs that wait for reports, for places that remain, for starts that fail, for excluded workers, for the reserve, for a rack and behind their class. The cost in time is still to be measured.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -37,6 +37,11 @@
 	// changed is set when an event since the last planning pass may allow new placements.
 	changed  bool
 	sequence int
+	// waits describes the stages that wait, as of the latest search for them.
+	waits   Waits
+	waitLog waitLog
+	// counts are those of the events since the arranger was created.
+	counts Counts
 }
 
 // New returns an Arranger without jobs and workers.
--- a/arranger/health.go
+++ b/arranger/health.go
@@ -32,6 +32,8 @@
 	failedAt         time.Time
 	quarantinedUntil time.Time
 	quarantineTime   time.Duration
+	// endUnlogged means that the end of the latest quarantine has not been logged.
+	endUnlogged bool
 }
 
 func (h *health) usable(now time.Time) bool { return !now.Before(h.quarantinedUntil) }
@@ -90,4 +92,21 @@
 func (h *health) quarantine(now time.Time) {
 	h.quarantineTime = min(max(minQuarantine, 2*h.quarantineTime), maxQuarantine)
 	h.quarantinedUntil = now.Add(h.quarantineTime)
+	h.endUnlogged = true
+}
+
+// logQuarantine logs and counts a quarantine; jobs is the number of jobs that caused it.
+func (a *Arranger) logQuarantine(w *worker, cause string, jobs int) {
+	a.counts.Quarantines++
+	a.options.Log("worker quarantined", "worker", w.ID, "rest", w.health.quarantineTime.String(), "cause", cause, "jobs", jobs)
+}
+
+// logEndedQuarantines logs the workers whose quarantine has ended.
+func (a *Arranger) logEndedQuarantines(now time.Time) {
+	for _, w := range a.sortedWorkers {
+		if w.health.endUnlogged && w.health.usable(now) {
+			w.health.endUnlogged = false
+			a.options.Log("quarantine ended", "worker", w.ID, "rested", w.health.quarantineTime.String())
+		}
+	}
 }
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -218,9 +218,12 @@
 	cand.version++
 }
 
-func (c *candidate) count(s *stage) int {
+func (c *candidate) count(s *stage) int { return c.worker.countOf(s) }
+
+// countOf returns the number of places of the stage on the worker.
+func (w *worker) countOf(s *stage) int {
 	count := 0
-	for _, p := range c.worker.places {
+	for _, p := range w.places {
 		if p.task.stage == s {
 			count++
 		}
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -59,6 +59,7 @@
 			a.markReadyStages(j, now)
 		}
 	}
+	a.logEndedQuarantines(now)
 	a.stopStalledRuns(now)
 	a.stopRunsOnLeavingWorkers(now)
 	a.retryOrders(now)
@@ -66,6 +67,7 @@
 	ranks := a.ranks()
 	units := a.units(now, ranks)
 	if len(units) == 0 {
+		a.logWaits(now, ranks, nil)
 		return
 	}
 	ps := a.newPass(now, ranks)
@@ -73,6 +75,7 @@
 		ps.place(u)
 	}
 	a.requestAdvice(now, units)
+	a.logWaits(now, ranks, ps)
 }
 
 // NextDue returns when the next occurrence of a job is due, or the zero time if there is none.
@@ -200,13 +203,15 @@
 		for _, p := range w.places {
 			if p.state == placeStarting && now.Sub(p.placedAt) >= startTimeout {
 				a.options.Log("start timed out", "task", p.task.label(), "run", p.run, "worker", w.ID, "since", now.Sub(p.placedAt).String())
+				a.counts.StartsTimedOut++
+				p.task.stage.wait.failedStarts++
 				a.stop(p, "start timed out")
 			}
 			if p.state != placeStopping {
 				continue
 			}
 			if p.stopOrderedAt.IsZero() {
-				p.stopOrderedAt = now
+				p.stopOrderedAt, p.stoppingSince = now, now
 				continue
 			}
 			if now.Sub(p.stopOrderedAt) >= stopRetryInterval+a.options.StopTime {
@@ -232,6 +237,8 @@
 			a.start(now, group, "claimed capacity is free")
 		case now.Sub(group[0].placedAt) > a.options.StopTime+claimMargin:
 			a.options.Log("claim timed out", "task", group[0].task.label())
+			a.counts.ClaimsTimedOut++
+			group[0].task.stage.wait.failedStarts++
 			for _, p := range group {
 				a.release(p)
 			}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -305,7 +305,7 @@
 		return
 	}
 	if w.health.recordFailure(j.ID, now) {
-		a.options.Log("worker quarantined", "worker", w.ID, "rest", w.health.quarantineTime.String(), "jobs", len(w.health.failedJobs))
+		a.logQuarantine(w, "runs failed", len(w.health.failedJobs))
 	}
 }
 
@@ -372,6 +372,8 @@
 	if p == nil || p.state == placeRunning {
 		return
 	}
+	a.counts.StartsRefused++
+	p.task.stage.wait.failedStarts++
 	p.worker.blockedUntil = now.Add(refusalBackoff)
 	a.releaseAndRequeue(p, "start refused")
 }
@@ -380,6 +382,8 @@
 // other members of its gang, which would wait for it in vain.
 func (a *Arranger) StartOutcomeUnknown(name TaskName, run int64) {
 	if p := a.findPlace(name, run); p != nil && p.state == placeStarting {
+		a.counts.StartsUnknown++
+		p.task.stage.wait.failedStarts++
 		a.stopRunOrGang(p, "start outcome unknown")
 	}
 }
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -36,9 +36,9 @@
 	firstPercent    int
 	// reportedAt is when a report last listed the run.
 	reportedAt time.Time
-	// stopOrderedAt is when the latest stop was ordered.
-	stopOrderedAt time.Time
-	pace          pace
+	// stopOrderedAt is when the latest stop was ordered, stoppingSince when the first one was.
+	stopOrderedAt, stoppingSince time.Time
+	pace                         pace
 	// adopted means that a previous owner started the run.
 	adopted bool
 	reason  string
@@ -83,6 +83,7 @@
 	ready time.Time
 	// advice is the state of requests to the advice service; nil before the first request.
 	advice *advice
+	wait   stageWait
 }
 
 type job struct {
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -73,8 +73,8 @@
 	gangReserve int
 	// pendingStarts is the number of starts whose outcome is not known yet.
 	pendingStarts int
-	// unplaceable maps classes of units that found no capacity in this pass to their smallest number of tasks.
-	unplaceable map[unitClass]int
+	// unplaceable holds the classes of units that found no capacity in this pass.
+	unplaceable map[unitClass]unplaceable
 	// tasksThatFit caches how many tasks the fleet could run if it were empty.
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangLoss caches the core-seconds lost by stopping a gang.
@@ -85,6 +85,12 @@
 	trials int
 }
 
+// unplaceable is the smallest number of tasks of a class that found no capacity, and the stage that it was.
+type unplaceable struct {
+	count int
+	stage *stage
+}
+
 // unitClass groups units that need the same kind of capacity.
 type unitClass struct {
 	need     Resources
@@ -101,7 +107,7 @@
 func (a *Arranger) newPass(now time.Time, ranks map[*job]rank) *pass {
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
-		unplaceable: map[unitClass]int{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
+		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
 		minSpeed: math.Inf(1),
 	}
 	a.speeds.update(now)
@@ -165,8 +171,10 @@
 
 // place finds capacity for a unit and orders its start, or claims capacity and preempts the runs that use it.
 func (ps *pass) place(u unit) {
+	u.stage.wait.block = notBlocked
 	key, count := ps.classOf(u)
-	if least, ok := ps.unplaceable[key]; ok && count >= least {
+	if least, ok := ps.unplaceable[key]; ok && count >= least.count {
+		u.stage.wait.block = blockedByClass
 		return
 	}
 	if u.stage.step.Gang {
@@ -174,7 +182,7 @@
 			return
 		}
 		if !ps.placeAllOrNone(u, u.stage.tasks) {
-			ps.unplaceable[key] = count
+			ps.unplaceable[key] = unplaceable{count: count, stage: u.stage}
 			ps.reserveForGang(u)
 		}
 		return
@@ -188,7 +196,7 @@
 		}
 		if !ps.placeAllOrNone(u, []*task{t}) {
 			if len(t.failedOn) == 0 && u.stage.step.MaxPerWorker == 0 {
-				ps.unplaceable[key] = count
+				ps.unplaceable[key] = unplaceable{count: count, stage: u.stage}
 			}
 			return
 		}
@@ -198,7 +206,11 @@
 // mustDeferStart reports whether the unit has to wait for the outcome of earlier starts, so that urgent starts
 // do not queue behind thousands of others.
 func (ps *pass) mustDeferStart(u unit) bool {
-	return u.rank > rankUrgent && ps.pendingStarts >= maxPendingStarts
+	if u.rank <= rankUrgent || ps.pendingStarts < maxPendingStarts {
+		return false
+	}
+	u.stage.wait.block = blockedByStarts
+	return true
 }
 
 // classOf returns the class of a unit and its number of tasks; if a unit finds no capacity, neither does
@@ -224,6 +236,7 @@
 // placeAllOrNone places all of the tasks or none of them.
 func (ps *pass) placeAllOrNone(u unit, tasks []*task) bool {
 	if ps.exceedsReserve(u, tasks) {
+		u.stage.wait.block = blockedByReserve
 		return false
 	}
 	p := ps.bestPacking(u, tasks, false)
@@ -233,6 +246,7 @@
 		}
 	}
 	if p == nil {
+		u.stage.wait.block = blockedByCapacity
 		return false
 	}
 	ps.commit(u, tasks, p)
