director: Log held-up plans and publish what waits

An owner whose lease is not renewed in time makes no plan, and one whose process gets no processor makes it late; no line and no metric says so. The director has no access to the metrics.

Ruled out: a line for each late plan, of which there would be up to six a second.

Change: "no plans: lease not renewed in time", "plans are late" (more than 1 s after they are due) and "plans are slow" (more than 1 s) appear once per change, each with a line at its end. SetGauge and ObserveDuration are seams of Director; hoster passes the functions of its registry. The gauges are those of arranger's Waits and Counts, the histogram is the time of plans.

Figures: the tests of director, hoster and arranger pass, those of director and arranger with -race as well.

Conclusion: an owner that makes no plans can be told from one that finds no room. That the plan loop calls the seams is not tested end to end.

--- a/director/director.go
+++ b/director/director.go
@@ -50,6 +50,9 @@
 	Logger *slog.Logger
 	// Clock returns a monotonic time that includes suspends of the VM; nil means the kernel's time since boot.
 	Clock func() time.Duration
+	// SetGauge and ObserveDuration are called with the name and the value of a metric; they may be nil.
+	SetGauge        func(name string, value int64)
+	ObserveDuration func(name string, took time.Duration)
 }
 
 // Run takes part in the election until the context ends, then releases the lease if it holds it.
--- /dev/null
+++ b/director/planwatch_test.go
@@ -0,0 +1,80 @@
+package director
+
+import (
+	"bytes"
+	"log/slog"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/arranger"
+)
+
+// TestHeldUpPlansAreLoggedOncePerChange guards against an owner that makes no plans, or makes them late, without a line
+// in its log.
+func TestHeldUpPlansAreLoggedOncePerChange(t *testing.T) {
+	const second = time.Second
+	plan := func(at, took time.Duration) func(*planWatch) {
+		return func(w *planWatch) {
+			w.begin(at)
+			w.end(at + took)
+		}
+	}
+	hold := func(at time.Duration) func(*planWatch) { return func(w *planWatch) { w.hold(at, maxRenewalAge) } }
+	for _, test := range []struct {
+		name  string
+		steps []func(*planWatch)
+		want  []string
+	}{
+		{"plans in time", []func(*planWatch){plan(second, second/10), plan(2*second, second/10), plan(3*second, second)}, nil},
+		{
+			"lease not renewed",
+			[]func(*planWatch){plan(second, 0), hold(2 * second), hold(4 * second), hold(9 * second), plan(9*second+1, 0), plan(10*second, 0)},
+			[]string{"no plans: lease not renewed in time", "plans are made again: lease renewed"},
+		},
+		{
+			"blocked loop",
+			[]func(*planWatch){plan(second, 0), plan(5*second, 0), plan(9*second, 0), plan(9*second+1, 0), plan(10*second, 0)},
+			[]string{"plans are late", "plans are on time again"},
+		},
+		{
+			"slow plans",
+			[]func(*planWatch){plan(second, 2*second), plan(3*second, 2*second), plan(5*second, second/10), plan(6*second, 0)},
+			[]string{"plans are slow", "plans are fast again"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			w := planWatch{logger: slog.New(slog.NewTextHandler(&out, nil)), epoch: 2}
+			for _, step := range test.steps {
+				step(&w)
+			}
+			var got []string
+			for _, match := range regexp.MustCompile(`msg="([^"]*)"`).FindAllStringSubmatch(out.String(), -1) {
+				got = append(got, match[1])
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("lines %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestGaugesShowWhatWaitsAndWhatFailed(t *testing.T) {
+	got := map[string]int64{}
+	d := &Director{SetGauge: func(name string, value int64) { got[name] = value }}
+	d.setGauges(
+		arranger.Waits{Stages: 3, Longest: 1500 * time.Millisecond, Exclusions: arranger.Exclusions{Quarantined: 4, Unreachable: 5}},
+		arranger.Counts{StartsUnknown: 6, Quarantines: 7},
+	)
+	for name, want := range map[string]int64{
+		"owner.waiting.stages": 3, "owner.waiting.longestMillis": 1500, "owner.workers.quarantined": 4,
+		"owner.workers.unreachable": 5, "owner.starts.unknown": 6, "owner.quarantines": 7, "owner.starts.refused": 0,
+	} {
+		if value, ok := got[name]; !ok || value != want {
+			t.Errorf("%s is %d (set: %t), want %d", name, value, ok, want)
+		}
+	}
+	(&Director{}).setGauges(arranger.Waits{}, arranger.Counts{})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -230,6 +230,8 @@
 	ticker := time.NewTicker(maxPlanInterval)
 	defer ticker.Stop()
 	pause := planBatchDelay
+	watch := planWatch{logger: t.Logger, epoch: t.lease.Epoch}
+	defer t.setGauges(arranger.Waits{}, arranger.Counts{})
 	for {
 		select {
 		case <-ctx.Done():
@@ -239,14 +241,22 @@
 		case <-ticker.C:
 		}
 		if !t.maySendRequests() {
+			now := t.now()
+			watch.hold(now, now-t.writer.renewedAt())
 			continue
 		}
 		startedAt := t.now()
 		t.mu.Lock()
+		watch.begin(t.now())
 		t.applyConfig()
 		t.arranger.Plan(time.Now())
 		t.dispatch(ctx)
+		waits, counts := t.arranger.Waits(), t.arranger.Counts()
 		t.mu.Unlock()
+		t.setGauges(waits, counts)
+		if took := watch.end(t.now()); t.ObserveDuration != nil {
+			t.ObserveDuration(planHistogram, took)
+		}
 		pause = min(max(planBatchDelay, planPauseFactor*(t.now()-startedAt)), maxPlanInterval)
 	}
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -82,7 +82,7 @@
 	var group sync.WaitGroup
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() { p.config.Run(follow) })
-	group.Go(func() { p.direct(ctx, store, client) })
+	group.Go(func() { p.direct(ctx, store, client, metrics) })
 	group.Go(func() { p.maintainPeers(ctx) })
 	p.awaitShutdown(ctx)
 	p.drain(servers)
@@ -96,11 +96,12 @@
 func idleConnections(descriptors int) int { return descriptors / idleDivisor }
 
 // direct runs the director, which competes for the lease and acts as the owner while it holds it.
-func (p *Process) direct(ctx context.Context, store *platform.Store, client *http.Client) {
+func (p *Process) direct(ctx context.Context, store *platform.Store, client *http.Client, m *metricSet) {
 	d := &director.Director{
 		Node: p.Settings.Node, Incarnation: rand.Text(), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
 		Config:  p.config, Bounds: p.Settings.Bounds, Logger: p.Logger, Cores: p.Settings.Cores,
+		SetGauge: m.setGauge, ObserveDuration: m.observeDuration,
 	}
 	if p.Settings.AdviceAddress != "" {
 		d.Advisor = &platform.Advisor{Client: client, Address: p.Settings.AdviceAddress, Timeout: adviceTimeout}
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -40,6 +40,14 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+func (m *metricSet) setGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
+func (m *metricSet) observeDuration(name string, took time.Duration) {
+	m.histogram(name).Update(took.Microseconds())
+}
+
 // observeStoreRequest records the latency of one request to the store, and counts it if it failed.
 func (m *metricSet) observeStoreRequest(path string, took time.Duration, err error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "?")
