--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -276,7 +276,7 @@
 	}
 	a.options.Log("unit waits", append([]any{
 		"job", s.job.ID, "queue", s.job.Queue, "organisation", s.job.Organisation, "step", s.stepName(), "gang", s.step.Gang,
-		"tasks", w.places.waiting, "need", s.step.Need, "for", now.Sub(s.wait.since).String(), "reason", string(reason), "rank", int(u.rank),
+		"tasks", w.places.waiting, "need", s.step.Need, "waited", now.Sub(s.wait.since).String(), "reason", string(reason), "rank", int(u.rank),
 		"lateness", u.lateness.String(), "run", lastRun, "failed", failed, "failedStarts", s.wait.failedStarts,
 	}, details...)...)
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -19,6 +19,9 @@
 	"lease taken": true, "lease lost": true, "lease given up": true, "lease released": true, "state loaded": true,
 	"store does not answer": true, "store answers again": true, "configuration in force": true,
 	"process started": true, "process draining": true, "process stopped": true, "log lines dropped": true,
+	"workers excluded from planning":      true,
+	"no plans: lease not renewed in time": true, "plans are made again: lease renewed": true,
+	"plans are late": true, "plans are on time again": true, "plans are slow": true, "plans are fast again": true,
 }
 
 // line is a parsed log line.
