director: Test that the plan loop reports plans and waits

Ruled out: looking at the gauges of a whole service, which does not stop the renewal at a given time.

Change: a test of the plan loop in virtual time: plans and a waiting stage are shown, an overdue renewal gives one line at its begin and one at its end, and nothing is shown as waiting after the term.

--- a/director/planwatch_test.go
+++ b/director/planwatch_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"regexp"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/registrar"
 )
 
 // TestHeldUpPlansAreLoggedOncePerChange guards against an owner that makes no plans, or makes them late, without a line
@@ -78,3 +84,44 @@
 	}
 	(&Director{}).setGauges(arranger.Waits{}, arranger.Counts{})
 }
+
+// TestTheOwnerShowsThatItMakesPlans guards against a plan loop that does not report, and against values that outlive the
+// term.
+func TestTheOwnerShowsThatItMakesPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		var plans, waiting atomic.Int64
+		began := time.Now()
+		d := &Director{
+			Logger: slog.New(slog.NewTextHandler(&out, nil)), Config: &follower.Follower{}, Clock: func() time.Duration { return time.Since(began) },
+			SetGauge: func(name string, value int64) {
+				if name == "owner.waiting.stages" {
+					waiting.Store(value)
+				}
+			},
+			ObserveDuration: func(string, time.Duration) { plans.Add(1) },
+		}
+		owner := newTerm(d, registrar.Lease{Epoch: 2}, 1, 0)
+		owner.arranger.AddJob(began, arranger.Job{ID: "job", Steps: []arranger.Step{{Count: 1}}, Accepted: began}, arranger.Progress{}, false)
+		ctx, cancel := context.WithCancel(t.Context())
+		owner.spawn(func() { owner.planLoop(ctx) })
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if plans.Load() == 0 || waiting.Load() != 1 {
+			t.Errorf("%d plans and %d waiting stages, want plans and one waiting stage", plans.Load(), waiting.Load())
+		}
+		time.Sleep(maxRenewalAge)
+		owner.writer.lastRenewal.Store(int64(owner.now()))
+		time.Sleep(time.Second)
+		cancel()
+		owner.goroutines.Wait()
+		for _, line := range []string{"no plans: lease not renewed in time", "plans are made again: lease renewed"} {
+			if got := strings.Count(out.String(), line); got != 1 {
+				t.Errorf("%d lines %q in %s", got, line, out.String())
+			}
+		}
+		if got := waiting.Load(); got != 0 {
+			t.Errorf("%d stages wait after the term", got)
+		}
+	})
+}
