soak: Play large fleets and check that jobs make progress

Ruled out: nothing; this commit changes no code of the product.

Change: the number of workers is a flag. The fake fleet finds runs by task and by gang, and polls wait for a change or the next due end. The feed of the fake store searches its history. A watch reads from the fake workers which jobs have nothing running although twice their room is free and less than half of the fleet is in use; 14 s after the end of the traffic, 3 s of that are an error.

Conclusion: to be used for large runs.

--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -327,8 +328,9 @@
 		return rowResponse{}, true
 	}
 	response := rowResponse{Ver: s.version}
-	for _, row := range s.history {
-		if row.Table == table && row.Ver > after {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Ver > after })
+	for _, row := range s.history[first:] {
+		if row.Table == table {
 			response.Rows = append(response.Rows, row)
 		}
 	}
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,12 +20,23 @@
 	mu      sync.Mutex
 	workers map[string]*TaskWorker
 	jobs    map[string]TaskJob
-	// done are the tasks whose successful end was acknowledged; started is the time of the last start of each task.
+	// done are the tasks whose successful end was acknowledged, and doneTasks their numbers by job; started is the time of the last start of each task.
 	done       map[string]bool
+	doneTasks  map[string]int
 	started    map[string]time.Time
 	violations []string
 	starts     map[string]int
-	failed     map[string]int
+	// failed are the failed runs of each task; those of a gang count for its first task.
+	failed map[string]int
+	// running are the workers on which each task runs, gangs the runs with the same job and number.
+	running map[string]map[*TaskWorker]bool
+	gangs   map[gangRun]map[*taskRun]*TaskWorker
+}
+
+// gangRun names the runs of a job that were started together.
+type gangRun struct {
+	job string
+	run int64
 }
 
 // TaskJob describes how the tasks of a job behave on the fake workers.
@@ -32,17 +45,24 @@
 	Duration time.Duration
 	// Gang is the number of tasks that only make progress together; 0 means that the tasks are independent.
 	Gang int
+	// Count is the number of tasks; only Standing needs it.
+	Count int
+	// RemoteFactor multiplies the duration of a gang on more than one rack; 0 means that racks do not matter.
+	RemoteFactor int
 	// Accelerators is the number of accelerators that each task uses.
 	Accelerators int
 	// Checkpoint is the checkpoint that each running task reports.
 	Checkpoint string
-	// FailRuns is the number of runs of each task that fail before one succeeds.
+	// FailRuns is the number of runs of each task, or of a gang, that fail before one succeeds.
 	FailRuns int
 }
 
 // NewTaskFleet returns a fleet without workers.
 func NewTaskFleet() *TaskFleet {
-	return &TaskFleet{workers: map[string]*TaskWorker{}, jobs: map[string]TaskJob{}, done: map[string]bool{}, started: map[string]time.Time{}, starts: map[string]int{}, failed: map[string]int{}}
+	return &TaskFleet{
+		workers: map[string]*TaskWorker{}, jobs: map[string]TaskJob{}, done: map[string]bool{}, doneTasks: map[string]int{}, started: map[string]time.Time{},
+		starts: map[string]int{}, failed: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
+	}
 }
 
 // SetJob sets how the tasks of a job behave.
@@ -73,8 +93,11 @@
 	run          int64
 	startedAt    time.Time
 	workingSince time.Time
+	duration     time.Duration
 }
 
+func (r *taskRun) gang() gangRun { return gangRun{r.job, r.run} }
+
 // endedRun is an entry in a worker's list of ended runs.
 type endedRun struct {
 	number int64
@@ -91,6 +114,7 @@
 	fleet        *TaskFleet
 	ID           string
 	accelerators int
+	rack         string
 
 	// The fleet's lock guards the fields below.
 	startedAt     time.Time
@@ -102,7 +126,10 @@
 	endedRuns     []endedRun
 	lastEndNumber int64
 	silent        bool
-	lostReplies   int
+	failing       bool
+	// stalledAt is the time since which the runs make no progress; it is zero if they do.
+	stalledAt   time.Time
+	lostReplies int
 	// delayedStarts is the number of start requests that are left unanswered and executed startDelay later.
 	delayedStarts int
 	startDelay    time.Duration
@@ -126,10 +153,33 @@
 	w.startedAt = time.Now()
 	w.incarnation = w.startedAt.UnixMilli()
 	w.lease, w.fence, w.endedRuns, w.lastEndNumber = 0, 0, nil, 0
+	for _, run := range w.runs {
+		w.remove(run)
+		w.fleet.breakGang(run)
+	}
 	w.runs, w.lastRun = map[string]*taskRun{}, map[string]int64{}
+	w.notify()
+}
+
+// notify wakes the polls that wait for a change of the runs; the caller holds the fleet's lock.
+func (w *TaskWorker) notify() {
+	if w.changed != nil {
+		close(w.changed)
+	}
 	w.changed = make(chan struct{})
 }
 
+// remove removes a run from the worker and from the indexes of the fleet.
+func (w *TaskWorker) remove(run *taskRun) {
+	delete(w.runs, run.name)
+	if delete(w.fleet.running[run.name], w); len(w.fleet.running[run.name]) == 0 {
+		delete(w.fleet.running, run.name)
+	}
+	if delete(w.fleet.gangs[run.gang()], run); len(w.fleet.gangs[run.gang()]) == 0 {
+		delete(w.fleet.gangs, run.gang())
+	}
+}
+
 // SetSilent sets whether the worker leaves all requests unanswered; its running tasks continue.
 func (w *TaskWorker) SetSilent(silent bool) {
 	w.fleet.mu.Lock()
@@ -154,6 +204,9 @@
 // Describe returns the worker's row in the platform's server list.
 func (w *TaskWorker) Describe(service, address, rack string) map[string]any {
 	const cpu, memory = 32000, 65536
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.rack = rack
 	return map[string]any{
 		"service": service, "addr": address, "zone": "zone-a", "state": "ready", "slots": w.accelerators, "seq": 1,
 		"capacity": map[string]any{"cpu": cpu, "memMb": memory, "gpu": w.accelerators}, "labels": []string{"a", rack}, "born": w.incarnation,
@@ -283,8 +336,18 @@
 		return http.StatusConflict, "room"
 	}
 	w.fleet.checkStart(w, request.Task, job)
-	w.runs[request.Task] = &taskRun{name: request.Task, job: job, run: request.Run, startedAt: time.Now()}
-	w.fleet.assemble(job, request.Run)
+	run := &taskRun{name: request.Task, job: job, run: request.Run, startedAt: time.Now()}
+	w.runs[request.Task] = run
+	if w.fleet.running[run.name] == nil {
+		w.fleet.running[run.name] = map[*TaskWorker]bool{}
+	}
+	w.fleet.running[run.name][w] = true
+	if w.fleet.gangs[run.gang()] == nil {
+		w.fleet.gangs[run.gang()] = map[*taskRun]*TaskWorker{}
+	}
+	w.fleet.gangs[run.gang()][run] = w
+	w.notify()
+	w.fleet.assemble(run.gang())
 	return http.StatusOK, ""
 }
 
@@ -295,7 +358,8 @@
 		f.violations = append(f.violations, fmt.Sprintf("%s started on %s after it was done", task, w.ID))
 	}
 	f.started[task] = time.Now()
-	for _, other := range f.workers {
+	others := slices.Collect(maps.Keys(f.running[task]))
+	for _, other := range others {
 		other.endDueRuns()
 		if other.runs[task] != nil {
 			f.violations = append(f.violations, fmt.Sprintf("%s started on %s while it runs on %s", task, w.ID, other.ID))
@@ -308,7 +372,10 @@
 	if e.outcome != "done" || e.leaseExpired {
 		return
 	}
-	f.done[e.name] = true
+	if !f.done[e.name] {
+		f.done[e.name] = true
+		f.doneTasks[jobOfTask(e.name)]++
+	}
 	if f.started[e.name].After(e.at) {
 		f.violations = append(f.violations, fmt.Sprintf("%s was started again after run %d was done", e.name, e.run))
 	}
@@ -331,25 +398,37 @@
 }
 
 // assemble starts the progress of the tasks of a run: those of a gang once all its members have started.
-func (f *TaskFleet) assemble(job string, run int64) {
-	var members []*taskRun
-	for _, w := range f.workers {
-		for _, r := range w.runs {
-			if r.job == job && r.run == run {
-				members = append(members, r)
-			}
-		}
+func (f *TaskFleet) assemble(gang gangRun) {
+	workers := slices.Collect(maps.Values(f.gangs[gang]))
+	for _, w := range workers {
+		w.endDueRuns()
 	}
-	if gang := f.jobs[job].Gang; gang > 0 && len(members) < gang {
+	job, members := f.jobs[gang.job], f.gangs[gang]
+	if job.Gang > 0 && len(members) < job.Gang {
 		return
 	}
-	for _, r := range members {
+	duration, racks := job.Duration, map[string]bool{}
+	for _, w := range members {
+		racks[w.rack] = true
+	}
+	if job.Gang > 0 && job.RemoteFactor > 0 && len(racks) > 1 {
+		duration *= time.Duration(job.RemoteFactor)
+	}
+	for r, w := range members {
 		if r.workingSince.IsZero() {
-			r.workingSince = time.Now()
+			r.workingSince, r.duration = time.Now(), duration
+			w.notify()
 		}
 	}
 }
 
+const (
+	// gangTimeout is how long a member of a gang waits for the others.
+	gangTimeout = 3 * time.Second
+	// failingTime is how long a run works before it fails on a worker that fails all runs.
+	failingTime = 200 * time.Millisecond
+)
+
 // endDueRuns ends the runs that are due: all if the lease has expired; the caller holds the fleet's lock.
 func (w *TaskWorker) endDueRuns() {
 	if w.lease > 0 && w.clock() > w.lease {
@@ -361,15 +440,21 @@
 		}
 		return
 	}
-	const gangTimeout = 3 * time.Second
 	for _, run := range w.runs {
-		job := w.fleet.jobs[run.job]
+		job, attempts := w.fleet.jobs[run.job], run.name
+		if job.Gang > 0 {
+			attempts = run.job
+		}
 		switch {
 		case run.workingSince.IsZero() && time.Since(run.startedAt) > gangTimeout:
 			w.end(run, "alone")
-		case run.workingSince.IsZero() || time.Since(run.workingSince) < job.Duration:
-		case w.fleet.failed[run.name] < job.FailRuns:
-			w.fleet.failed[run.name]++
+		case run.workingSince.IsZero():
+		case w.failing && w.worked(run) > failingTime:
+			w.fleet.failed[attempts]++
+			w.end(run, "failed")
+		case w.worked(run) < run.duration:
+		case w.fleet.failed[attempts] < job.FailRuns:
+			w.fleet.failed[attempts]++
 			w.end(run, "failed")
 		default:
 			w.end(run, "done")
@@ -379,20 +464,24 @@
 
 // end moves a run to the list of ended runs; unless the run is done, the other members of its gang end as broken.
 func (w *TaskWorker) end(run *taskRun, outcome string) {
-	delete(w.runs, run.name)
+	w.remove(run)
 	w.lastRun[run.name] = max(w.lastRun[run.name], run.run)
 	w.lastEndNumber++
 	w.endedRuns = append(w.endedRuns, endedRun{number: w.lastEndNumber, at: time.Now(), name: run.name, run: run.run, outcome: outcome})
-	close(w.changed)
-	w.changed = make(chan struct{})
-	if w.fleet.jobs[run.job].Gang == 0 || outcome == "done" || outcome == "broken" {
+	w.notify()
+	if outcome != "done" && outcome != "broken" {
+		w.fleet.breakGang(run)
+	}
+}
+
+// breakGang ends the other members of the run's gang as broken.
+func (f *TaskFleet) breakGang(run *taskRun) {
+	if f.jobs[run.job].Gang == 0 {
 		return
 	}
-	for _, other := range w.fleet.workers {
-		for _, member := range other.runs {
-			if member.job == run.job && member.run == run.run {
-				other.end(member, "broken")
-			}
+	for member, other := range maps.Clone(f.gangs[run.gang()]) {
+		if member != run {
+			other.end(member, "broken")
 		}
 	}
 }
@@ -402,7 +491,34 @@
 	if run.workingSince.IsZero() {
 		return 0
 	}
-	return int(hundred * time.Since(run.workingSince) / max(1, w.fleet.jobs[run.job].Duration))
+	return int(hundred * w.worked(run) / max(1, run.duration))
+}
+
+// worked returns how long the run has made progress.
+func (w *TaskWorker) worked(run *taskRun) time.Duration {
+	if w.stalledAt.IsZero() {
+		return time.Since(run.workingSince)
+	}
+	return max(0, w.stalledAt.Sub(run.workingSince))
+}
+
+// untilDue returns the time until the next run of the worker is due to end.
+func (w *TaskWorker) untilDue() time.Duration {
+	due := time.Hour
+	if clock := w.clock(); w.lease > clock {
+		due = w.lease - clock
+	}
+	for _, run := range w.runs {
+		switch {
+		case run.workingSince.IsZero():
+			due = min(due, gangTimeout-time.Since(run.startedAt))
+		case w.failing:
+			due = min(due, failingTime-w.worked(run))
+		case w.stalledAt.IsZero():
+			due = min(due, run.duration-w.worked(run))
+		}
+	}
+	return max(due, 0) + time.Millisecond
 }
 
 func (w *TaskWorker) serveStop(rw http.ResponseWriter, request taskRequest) {
@@ -420,7 +536,6 @@
 }
 
 func (w *TaskWorker) servePoll(rw http.ResponseWriter, r *http.Request, request taskRequest) {
-	const pollInterval = 20 * time.Millisecond
 	until := time.Now().Add(time.Duration(request.WaitMs) * time.Millisecond)
 	for {
 		w.fleet.mu.Lock()
@@ -436,13 +551,20 @@
 		if len(w.endedRuns) > 0 || !time.Now().Before(until) {
 			break
 		}
+		wait, changed := min(w.untilDue(), time.Until(until)), w.changed
 		w.fleet.mu.Unlock()
 		select {
-		case <-time.After(pollInterval):
+		case <-changed:
+		case <-time.After(wait):
 		case <-r.Context().Done():
 			return
 		}
 	}
+	if w.silent {
+		w.fleet.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	defer w.fleet.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, run := range w.runs {
--- /dev/null
+++ b/soak/progress_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/snipelift/snipelift/faker"
+)
+
+const (
+	// finishTime is the time after the end of the traffic from which every job must make progress while there is room.
+	finishTime = 14 * time.Second
+	// maxStanding is the longest time for which a job may have nothing running although it could.
+	maxStanding    = 3 * time.Second
+	sampleInterval = 200 * time.Millisecond
+	reportInterval = 5 * time.Second
+)
+
+// progressWatch looks at the workers for jobs that have nothing running while twice the room that they need is free
+// and less than half of the fleet is in use.
+type progressWatch struct {
+	sample func() (faker.Usage, []faker.StandingJob)
+	logf   func(format string, arguments ...any)
+	// violatef receives each violation.
+	violatef func(format string, arguments ...any)
+	started  time.Time
+
+	mu        sync.Mutex
+	endOfLoad time.Time
+	since     map[string]time.Time
+	last      map[string]string
+}
+
+func newProgressWatch(t *testing.T, sample func() (faker.Usage, []faker.StandingJob)) *progressWatch {
+	return &progressWatch{sample: sample, logf: t.Logf, violatef: t.Errorf, started: time.Now(), since: map[string]time.Time{}, last: map[string]string{}}
+}
+
+// run samples until stop is closed.
+func (w *progressWatch) run(stop <-chan struct{}) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	var reported time.Time
+	for {
+		select {
+		case <-stop:
+			w.observe(time.Now(), faker.Usage{}, nil)
+			return
+		case now := <-ticker.C:
+			usage, standing := w.sample()
+			w.observe(now, usage, standing)
+			if now.Sub(reported) >= reportInterval {
+				reported = now
+				w.logf("%s: %d of %d accelerators in use, %d jobs have nothing running, %d of them with room",
+					now.UTC().Format(time.StampMilli), usage.Used, usage.Total, len(standing), w.standing())
+			}
+		}
+	}
+}
+
+func (w *progressWatch) standing() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.since)
+}
+
+// end sets the end of the traffic, which is the end of all faults as well.
+func (w *progressWatch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endOfLoad = time.Now()
+}
+
+// observe applies a sample of the fleet.
+func (w *progressWatch) observe(now time.Time, usage faker.Usage, standing []faker.StandingJob) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stands := map[string]bool{}
+	for _, job := range standing {
+		if !couldRun(usage, job) {
+			continue
+		}
+		stands[job.ID] = true
+		if w.since[job.ID].IsZero() {
+			w.since[job.ID] = now
+		}
+		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; %d of %d accelerators in use, room for %d tasks",
+			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures, usage.Used, usage.Total, usage.Free[job.Accelerators])
+	}
+	for id, since := range w.since {
+		if !stands[id] {
+			w.report(id, since, now)
+			delete(w.since, id)
+		}
+	}
+}
+
+// report logs a job that had nothing running for too long; after the end of the traffic it is an error.
+func (w *progressWatch) report(id string, since, now time.Time) {
+	if now.Sub(since) < maxStanding {
+		return
+	}
+	text := fmt.Sprintf("job %s had nothing running from %s to %s (%.1f s to %.1f s), although it could run (%s)", id,
+		since.UTC().Format(time.StampMilli), now.UTC().Format(time.StampMilli), since.Sub(w.started).Seconds(), now.Sub(w.started).Seconds(), w.last[id])
+	if !w.endOfLoad.IsZero() && now.Sub(later(since, w.endOfLoad.Add(finishTime))) >= maxStanding {
+		w.violatef("%s", text)
+		return
+	}
+	w.logf("during the traffic: %s", text)
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// couldRun reports whether twice the room that the job needs to begin is free and less than half of the fleet is in use.
+func couldRun(usage faker.Usage, job faker.StandingJob) bool {
+	const twice = 2
+	return job.Failures < maxAttempts && twice*usage.Used < usage.Total && usage.Free[job.Accelerators] >= twice*max(1, job.Gang)
+}
+
+func TestStandingJobIsReportedOnlyWithRoomAndTime(t *testing.T) {
+	job := faker.StandingJob{ID: "x", TaskJob: faker.TaskJob{Gang: 3, Accelerators: 4}}
+	idle := faker.Usage{Total: 64, Used: 8, Free: map[int]int{4: 6}}
+	for _, c := range []struct {
+		name  string
+		usage faker.Usage
+		after time.Duration
+		span  time.Duration
+		want  int
+	}{
+		{"idle fleet", idle, finishTime, maxStanding, 1},
+		{"too short", idle, finishTime, maxStanding - time.Second, 0},
+		{"begins before the finish time", idle, finishTime - time.Second, maxStanding, 0},
+		{"little room", faker.Usage{Total: 64, Used: 8, Free: map[int]int{4: 5}}, finishTime, maxStanding, 0},
+		{"half in use", faker.Usage{Total: 64, Used: 32, Free: map[int]int{4: 6}}, finishTime, maxStanding, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			start := time.Now()
+			violations := 0
+			w := newProgressWatch(t, nil)
+			w.endOfLoad, w.violatef = start, func(string, ...any) { violations++ }
+			for at := time.Duration(0); at < c.span; at += sampleInterval {
+				w.observe(start.Add(c.after+at), c.usage, []faker.StandingJob{job})
+			}
+			w.observe(start.Add(c.after+c.span), c.usage, nil)
+			if violations != c.want {
+				t.Errorf("%d violations, want %d", violations, c.want)
+			}
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,13 +1,14 @@
 package soak
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"net/http"
 	"os/exec"
 	"path/filepath"
-	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +21,9 @@
 	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds")
 	soakSteps = flag.Int("soak.steps", 30, "steps of each run; a step takes a quarter of a second on average")
 	soakSize  = flag.Int("soak.entries", 4, "entry processes")
+	workers   = flag.Int("soak.workers", 8, "workers; from 50 on the load and the faults are those of a large site")
+	soakLoad  = flag.Float64("soak.load", 0.6, "work submitted to a large fleet, as a share of its capacity")
+	storeDown = flag.Bool("soak.store", true, "inject faults of the store itself")
 )
 
 // failedSeeds are seeds that failed once, each with the cause in a comment; every run repeats them.
@@ -28,6 +32,9 @@
 // completionTimeout is the time limit for jobs to end after the last fault; leases that are not renewed expire after 9 s.
 const completionTimeout = 90 * time.Second
 
+// recoveryTraffic is the length of the traffic of a large fleet after the last fault.
+const recoveryTraffic = 15 * time.Second
+
 func TestInvariantsHoldForRealProcessesUnderFaults(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "snipelift-entry")
 	if out, err := exec.Command("go", "build", "-tags", "nomsgpack", "-o", program, "../cmd/snipelift-entry").CombinedOutput(); err != nil { //nolint:noctx // The timeout of the test bounds the build.
@@ -39,91 +46,112 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Logf("rerun: go test ./soak -soak.first=%d -soak.steps=%d -soak.entries=%d (timing is not fixed by the seed)", seed, *soakSteps, *soakSize)
-			s := &soak{cluster: newCluster(t, program, *soakSize), random: rand.New(rand.NewPCG(seed, 11)), submitted: map[string]outcome{}} //nolint:gosec // The seed makes the random numbers repeatable.
-			s.awaitFirstJob()
-			for range *soakSteps {
-				s.step()
-			}
-			s.clearFaults()
-			s.verify()
+			t.Logf("rerun: go test ./soak -soak.first=%d -soak.steps=%d -soak.entries=%d -soak.workers=%d -soak.load=%g -soak.store=%t (timing is not fixed by the seed)",
+				seed, *soakSteps, *soakSize, *workers, *soakLoad, *storeDown)
+			s := &soak{cluster: newCluster(t, program, *soakSize), random: rand.New(rand.NewPCG(seed, 11)), submitted: map[string]submission{}} //nolint:gosec // The seed makes the random numbers repeatable.
+			s.play()
 		})
 	}
 }
 
-// outcome is what a client knows about the job that it submitted.
-type outcome int
-
-const (
-	refused outcome = iota
-	unknown
-	accepted
-)
-
 type soak struct {
 	*cluster
 
-	random    *rand.Rand
-	submitted map[string]outcome
-	next      int
+	random *rand.Rand
+	next   int
+	// work is the submitted work, in accelerators times their time, since trafficStart.
+	work         time.Duration
+	trafficStart time.Time
+	clients      sync.WaitGroup
+
+	mu        sync.Mutex
+	submitted map[string]submission
+}
+
+// play runs the traffic and the faults of one seed and checks the result.
+func (s *soak) play() {
+	watch := newProgressWatch(s.t, func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) })
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	stopWatch := sync.OnceFunc(func() {
+		close(stop)
+		watching.Wait()
+	})
+	defer stopWatch()
+	s.awaitFirstJob()
+	watching.Go(func() { watch.run(stop) })
+	s.trafficStart, s.work = time.Now(), 0
+	for i := range *soakSteps {
+		if s.large() && i == *soakSteps/3 {
+			s.stopOwner()
+		}
+		s.step()
+	}
+	if s.large() {
+		for _, e := range s.entries {
+			e.signal(syscall.SIGKILL)
+		}
+		s.t.Logf("%s: all entries killed", time.Now().UTC().Format(time.StampMilli))
+	}
+	s.clearFaults()
+	if s.large() {
+		s.work = time.Duration(*soakLoad * float64(s.total()) * float64(time.Since(s.trafficStart)))
+		for until := time.Now().Add(recoveryTraffic); time.Now().Before(until); {
+			s.traffic()
+		}
+	}
+	s.clients.Wait()
+	watch.end()
+	s.t.Logf("%s: end of the traffic", time.Now().UTC().Format(time.StampMilli))
+	s.verify()
+	stopWatch()
 }
 
 func (s *soak) chance(n int) bool { return s.random.IntN(n) == 0 }
 
+// large reports whether the fleet is that of a large site.
+func (s *soak) large() bool { return *workers >= largeFleet }
+
+// total returns the number of accelerators of the fleet.
+func (s *soak) total() int { return *workers * accelerators }
+
 func (s *soak) randomEntry() *entry { return s.entries[s.random.IntN(len(s.entries))] }
 
 // awaitFirstJob waits until a first job has succeeded.
 func (s *soak) awaitFirstJob() {
 	s.t.Helper()
-	s.submit()
-	for id, o := range s.submitted {
-		for until := time.Now().Add(completionTimeout); o != accepted && time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-			o = s.post(id, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
-		}
-		s.submitted[id] = o
-		s.mustSucceed(id)
+	id, prefix, o := fmt.Sprintf("%016x", 0), "/l0/", unknown
+	s.fleet.SetJob(id, faker.TaskJob{Duration: time.Second, Accelerators: 1, Count: 1})
+	for until := time.Now().Add(completionTimeout); o != accepted && time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		o = post([]*entry{s.randomEntry()}, prefix+id, `{"spec":"x","steps":[{"count":1,"cpu":1000,"memMb":1000,"gpu":1,"estimateMs":1000}]}`)
 	}
+	s.record(id, submission{prefix: prefix, outcome: o})
+	s.mustSucceed(id)
 }
 
 func (s *soak) step() {
-	time.Sleep(time.Duration(s.random.IntN(500)) * time.Millisecond)
-	if !s.chance(3) {
-		s.submit()
-	}
+	s.traffic()
 	if s.chance(2) {
 		s.fault()
 	}
-}
-
-// submit submits a new job with random settings.
-func (s *soak) submit() {
-	s.next++
-	id := fmt.Sprintf("%016x", s.next)
-	job := faker.TaskJob{Duration: time.Duration(200+s.random.IntN(3000)) * time.Millisecond, Accelerators: []int{1, 2, 4, 8}[s.random.IntN(4)]}
-	count := 1 + s.random.IntN(4)
-	if s.chance(2) {
-		job.Gang = count
+	if s.large() && s.chance(2) {
+		s.workerFault()
 	}
-	s.submitted[id] = s.post(id, job, count)
 }
 
-// post sends the job to up to three random entries in turn, as a client with retries does.
-func (s *soak) post(id string, job faker.TaskJob, count int) outcome {
-	s.fleet.SetJob(id, job)
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":1000,"gpu":%d,"estimateMs":%d,"gang":%t}]}`,
-		count, job.Accelerators, job.Duration.Milliseconds(), job.Gang > 0)
-	known := refused
-	const tries = 3
-	for range tries {
-		switch status, _ := s.randomEntry().call(http.MethodPost, "/l/"+id, body); status {
-		case http.StatusOK:
-			return accepted
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		default:
-			known = unknown
+// traffic waits a random time and submits what is due after it.
+func (s *soak) traffic() {
+	time.Sleep(time.Duration(s.random.IntN(500)) * time.Millisecond)
+	if !s.large() {
+		if !s.chance(3) {
+			s.submit()
 		}
+		return
+	}
+	due := time.Duration(*soakLoad * float64(s.total()) * float64(time.Since(s.trafficStart)))
+	for s.work < due {
+		s.submit()
 	}
-	return known
 }
 
 // fault begins or ends one random fault; a fault that lasts can overlap with later ones.
@@ -157,6 +185,9 @@
 		e.signal(syscall.SIGCONT)
 		e.signal(syscall.SIGHUP)
 	case 11:
+		if !*storeDown {
+			return
+		}
 		s.store.SetFaults(faker.RowFaults{Silent: s.chance(4), Busy: s.chance(4), LoseReplies: s.random.IntN(4), Delay: time.Duration(s.random.IntN(200)) * time.Millisecond})
 	default:
 		s.store.SetFaults(faker.RowFaults{})
@@ -169,12 +200,71 @@
 	}
 }
 
+// workerFault begins a fault of a random worker that lasts for a random time.
+func (s *soak) workerFault() {
+	i := s.random.IntN(len(s.workers))
+	w, lasts := s.workers[i], time.Duration(1+s.random.IntN(12))*time.Second
+	switch s.random.IntN(5) {
+	case 0:
+		w.SetSilent(true)
+	case 1:
+		w.SetStalled(true)
+	case 2:
+		w.SetFailing(true)
+	case 3:
+		w.SetSilent(true)
+		s.store.Remove("servers", w.ID)
+		w.Restart()
+	default:
+		w.Restart()
+		s.register(i)
+		return
+	}
+	s.faulty[i] = true
+	s.clients.Go(func() {
+		time.Sleep(lasts)
+		s.repair(i)
+	})
+}
+
+// repair ends the faults of a worker.
+func (s *soak) repair(i int) {
+	s.workers[i].SetSilent(false)
+	s.workers[i].SetStalled(false)
+	s.workers[i].SetFailing(false)
+	s.register(i)
+}
+
+// stopOwner kills the owner or pauses it until the end of the faults.
+func (s *soak) stopOwner() {
+	var lease struct {
+		Node string `json:"node"`
+	}
+	for _, value := range s.store.Rows("lease", "owner") {
+		_ = json.Unmarshal(value, &lease)
+	}
+	for _, e := range s.entries {
+		if e.name != lease.Node {
+			continue
+		}
+		signal := syscall.SIGSTOP
+		if s.chance(2) {
+			signal = syscall.SIGKILL
+		}
+		e.signal(signal)
+		s.t.Logf("%s: owner %s: %v", time.Now().UTC().Format(time.StampMilli), e.name, signal)
+	}
+}
+
 // clearFaults ends all faults and starts all processes that have exited.
 func (s *soak) clearFaults() {
 	s.store.SetFaults(faker.RowFaults{})
 	for _, proxy := range s.workerProxies {
 		proxy.clearFaults()
 	}
+	for i := range s.faulty {
+		s.repair(i)
+	}
 	for _, e := range s.entries {
 		e.storeProxy.clearFaults()
 		e.signal(syscall.SIGCONT)
@@ -186,28 +276,16 @@
 	}
 }
 
-// mustSucceed waits until an entry reports that the job has succeeded.
-func (s *soak) mustSucceed(id string) {
-	s.t.Helper()
-	var body string
-	for until := time.Now().Add(completionTimeout); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-		if _, body = s.randomEntry().call(http.MethodGet, "/l/"+id, ""); strings.Contains(body, "succeeded") {
-			return
-		}
-	}
-	s.t.Errorf("job %s shows %q %s after the last fault", id, body, completionTimeout)
-}
-
 // verify checks that accepted jobs succeed, that refused jobs were not started, and that no worker saw a violation.
 func (s *soak) verify() {
 	s.t.Helper()
 	counts := map[outcome]int{}
-	for id, o := range s.submitted {
-		counts[o]++
+	for id, sent := range maps.Clone(s.submitted) {
+		counts[sent.outcome]++
 		switch {
-		case o == accepted:
+		case sent.outcome == accepted && !sent.cancelled:
 			s.mustSucceed(id)
-		case o == refused && s.fleet.Starts(id) > 0:
+		case sent.outcome == refused && s.fleet.Starts(id) > 0:
 			s.t.Errorf("job %s was started although all entries refused it", id)
 		}
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -18,8 +18,14 @@
 )
 
 const (
-	workers      = 8
 	accelerators = 8
+	maxAttempts  = 5
+	queues       = 3
+	remoteFactor = 3
+	// largeFleet is the number of workers from which on the load and the faults are those of a large site.
+	largeFleet = 50
+	// maxProxies is the number of workers with a proxy, the others are connected to directly.
+	maxProxies = 24
 	// portsPerEntry counts the client port, the readiness port and the range for the metrics and peer ports.
 	portsPerEntry = 4
 )
@@ -30,7 +36,11 @@
 	program string
 	store   *faker.RowStore
 	fleet   *faker.TaskFleet
-	// workerProxies are the proxies to the workers, which all entries share.
+	workers []*faker.TaskWorker
+	// addresses and racks are those of the workers; faulty are the workers that had a fault which lasts.
+	addresses, racks []string
+	faulty           map[int]bool
+	// workerProxies are the proxies to the first workers, which all entries share.
 	workerProxies []*proxy
 	entries       []*entry
 }
@@ -50,18 +60,35 @@
 
 func newCluster(t *testing.T, program string, entries int) *cluster {
 	t.Helper()
-	w := &cluster{t: t, program: program, store: faker.NewRowStore(), fleet: faker.NewTaskFleet()}
+	w := &cluster{t: t, program: program, store: faker.NewRowStore(), fleet: faker.NewTaskFleet(), faulty: map[int]bool{}}
+	var routes []any
+	for i := range queues {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("lookups%d", i), "host": "a.example", "prefix": fmt.Sprintf("/l%d/", i), "service": "tabulator",
+			"priority": i, "maxAttempts": maxAttempts, "stretch": 1.5, "sloMs": 250,
+		})
+	}
 	w.store.Put("op", "config", map[string]any{
 		"version":  1,
-		"routes":   []any{map[string]any{"name": "lookups", "host": "a.example", "prefix": "/l/", "service": "tabulator", "maxAttempts": 5, "stretch": 1.5, "sloMs": 250}},
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
-		"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": 16}}},
+		"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": *workers * accelerators / 4}}},
 	})
-	for i := range workers {
+	workersPerRack := 4
+	if *workers >= largeFleet {
+		workersPerRack = 12
+	}
+	for i := range *workers {
 		worker := w.fleet.Add(fmt.Sprintf("w%d", i), accelerators)
-		proxy := newProxy(t, serve(t, worker))
-		w.workerProxies = append(w.workerProxies, proxy)
-		w.store.Put("servers", worker.ID, worker.Describe("tabulator", proxy.address(), fmt.Sprintf("r1-%d", i/4)))
+		address := serve(t, worker)
+		if i < maxProxies {
+			proxy := newProxy(t, address)
+			w.workerProxies = append(w.workerProxies, proxy)
+			address = proxy.address()
+		}
+		w.workers, w.addresses = append(w.workers, worker), append(w.addresses, address)
+		w.racks = append(w.racks, fmt.Sprintf("r1-%d", i/workersPerRack))
+		w.register(i)
 	}
 	storeAddress := serve(t, w.store)
 	for i := range entries {
@@ -79,6 +106,11 @@
 	return w
 }
 
+// register writes the row of a worker, as its incarnation does after its start.
+func (w *cluster) register(i int) {
+	w.store.Put("servers", w.workers[i].ID, w.workers[i].Describe("tabulator", w.addresses[i], w.racks[i]))
+}
+
 // serve runs the handler on a free loopback port and returns its address.
 func serve(t *testing.T, h http.Handler) string {
 	t.Helper()
@@ -113,13 +145,13 @@
 	// Each entry of each test run has its own loopback address, so that the ports of parallel runs do not collide.
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+os.Getpid()/200%250, 10+i)
 	port := w.freePorts(ip)
-	e := &entry{cluster: w, name: fmt.Sprintf("entry-%d", i), clientAddress: fmt.Sprintf("%s:%d", ip, port), storeProxy: newProxy(w.t, storeAddress), client: &http.Client{Transport: &http.Transport{}}}
+	e := &entry{cluster: w, name: fmt.Sprintf("entry-%d", i), clientAddress: fmt.Sprintf("%s:%d", ip, port), storeProxy: newProxy(w.t, storeAddress), client: &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}}
 	settings := map[string]any{
 		"node": e.name, "zone": "zone-a", "ip": ip, "portRange": []int{port + 2, port + 3}, "heartbeatMs": 1500,
 		"listen":   map[string]any{"front": e.clientAddress, "ready": fmt.Sprintf("%s:%d", ip, port+1)},
 		"platform": map[string]any{"addr": e.storeProxy.address()},
 		"limits":   map[string]any{"cpuShare": 1, "cores": 1},
-		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": 3, "restoreMs": 100, "reclaimMs": 3000},
+		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": remoteFactor, "restoreMs": 100, "reclaimMs": 3000},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -181,12 +213,11 @@
 func (e *entry) call(method, path, body string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+e.clientAddress+path, strings.NewReader(body)) //nolint:noctx // The client's timeout bounds the request.
 	if err != nil {
-		e.cluster.t.Fatal(err)
+		return 0, err.Error()
 	}
 	r.Host = "a.example"
 	r.Header.Set("Authorization", "Token key")
 	r.Header.Set("X-Timeout-Ms", "3000")
-	e.client.Timeout = 3 * time.Second
 	response, err := e.client.Do(r)
 	if err != nil {
 		return 0, err.Error()
