soak: Ask an entry before a job counts as standing

Change: after half of the time limit the watch asks an entry whether the job has ended.

Conclusion: the check itself stays as strict, a job that no entry shows as ended counts.

--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -18,6 +18,9 @@
 	accepted
 )
 
+// maxAsked is the number of entries that are asked for the state of a job.
+const maxAsked = 3
+
 // submission is a job that was submitted to a queue.
 type submission struct {
 	prefix    string
@@ -141,3 +144,16 @@
 	}
 	s.t.Errorf("job %s shows %q %s after the last fault", id, body, completionTimeout)
 }
+
+// showsEnded reports whether an entry shows the job as ended.
+func (s *soak) showsEnded(id string) bool {
+	s.mu.Lock()
+	path := s.submitted[id].prefix + id
+	s.mu.Unlock()
+	for _, e := range s.entries[:min(len(s.entries), maxAsked)] {
+		if status, body := e.call(http.MethodGet, path, ""); status == http.StatusOK {
+			return strings.Contains(body, "succeeded") || strings.Contains(body, "failed")
+		}
+	}
+	return false
+}
--- a/soak/progress_test.go
+++ b/soak/progress_test.go
@@ -22,7 +22,9 @@
 // and less than half of the fleet is in use.
 type progressWatch struct {
 	sample func() (faker.Usage, []faker.StandingJob)
-	logf   func(format string, arguments ...any)
+	// ended reports whether an entry shows the job as ended; an end that was recorded can be lost on its worker.
+	ended func(id string) bool
+	logf  func(format string, arguments ...any)
 	// violatef receives each violation.
 	violatef func(format string, arguments ...any)
 	started  time.Time
@@ -31,10 +33,15 @@
 	endOfLoad time.Time
 	since     map[string]time.Time
 	last      map[string]string
+	// asked are the jobs for which ended was called since they have nothing running, endedJobs those that had ended.
+	asked, endedJobs map[string]bool
 }
 
-func newProgressWatch(t *testing.T, sample func() (faker.Usage, []faker.StandingJob)) *progressWatch {
-	return &progressWatch{sample: sample, logf: t.Logf, violatef: t.Errorf, started: time.Now(), since: map[string]time.Time{}, last: map[string]string{}}
+func newProgressWatch(t *testing.T, sample func() (faker.Usage, []faker.StandingJob), ended func(string) bool) *progressWatch {
+	return &progressWatch{
+		sample: sample, ended: ended, logf: t.Logf, violatef: t.Errorf, started: time.Now(),
+		since: map[string]time.Time{}, last: map[string]string{}, asked: map[string]bool{}, endedJobs: map[string]bool{},
+	}
 }
 
 // run samples until stop is closed.
@@ -78,13 +85,20 @@
 	defer w.mu.Unlock()
 	stands := map[string]bool{}
 	for _, job := range standing {
-		if !couldRun(usage, job) {
+		if w.endedJobs[job.ID] || !couldRun(usage, job) {
 			continue
 		}
 		stands[job.ID] = true
 		if w.since[job.ID].IsZero() {
 			w.since[job.ID] = now
 		}
+		if now.Sub(w.since[job.ID]) >= maxStanding/2 && !w.asked[job.ID] {
+			w.asked[job.ID] = true
+			if w.endedJobs[job.ID] = w.ended(job.ID); w.endedJobs[job.ID] {
+				delete(w.since, job.ID)
+				continue
+			}
+		}
 		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; %d of %d accelerators in use, room for %d tasks",
 			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures, usage.Used, usage.Total, usage.Free[job.Accelerators])
 	}
@@ -92,6 +106,7 @@
 		if !stands[id] {
 			w.report(id, since, now)
 			delete(w.since, id)
+			delete(w.asked, id)
 		}
 	}
 }
@@ -131,18 +146,20 @@
 		usage faker.Usage
 		after time.Duration
 		span  time.Duration
+		ended bool
 		want  int
 	}{
-		{"idle fleet", idle, finishTime, maxStanding, 1},
-		{"too short", idle, finishTime, maxStanding - time.Second, 0},
-		{"begins before the finish time", idle, finishTime - time.Second, maxStanding, 0},
-		{"little room", faker.Usage{Total: 64, Used: 8, Free: map[int]int{4: 5}}, finishTime, maxStanding, 0},
-		{"half in use", faker.Usage{Total: 64, Used: 32, Free: map[int]int{4: 6}}, finishTime, maxStanding, 0},
+		{"idle fleet", idle, finishTime, maxStanding, false, 1},
+		{"shown as ended", idle, finishTime, maxStanding, true, 0},
+		{"too short", idle, finishTime, maxStanding - time.Second, false, 0},
+		{"begins before the finish time", idle, finishTime - time.Second, maxStanding, false, 0},
+		{"little room", faker.Usage{Total: 64, Used: 8, Free: map[int]int{4: 5}}, finishTime, maxStanding, false, 0},
+		{"half in use", faker.Usage{Total: 64, Used: 32, Free: map[int]int{4: 6}}, finishTime, maxStanding, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := time.Now()
 			violations := 0
-			w := newProgressWatch(t, nil)
+			w := newProgressWatch(t, nil, func(string) bool { return c.ended })
 			w.endOfLoad, w.violatef = start, func(string, ...any) { violations++ }
 			for at := time.Duration(0); at < c.span; at += sampleInterval {
 				w.observe(start.Add(c.after+at), c.usage, []faker.StandingJob{job})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,7 @@
 type soak struct {
 	*cluster
 
+	// random must be used by one goroutine only.
 	random *rand.Rand
 	next   int
 	// work is the submitted work, in accelerators times their time, since trafficStart.
@@ -70,7 +71,7 @@
 
 // play runs the traffic and the faults of one seed and checks the result.
 func (s *soak) play() {
-	watch := newProgressWatch(s.t, func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) })
+	watch := newProgressWatch(s.t, func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) }, s.showsEnded)
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	stopWatch := sync.OnceFunc(func() {
