soak: Measure the fake store and the sampling beside the progress of jobs

Questions to entries also held up the samples.

Change: each log line has the longest time between two samples and of a direct read of the store; entries are asked in the background.

--- a/soak/progress_test.go
+++ b/soak/progress_test.go
@@ -24,6 +24,8 @@
 	sample func() (faker.Usage, []faker.StandingJob)
 	// ended reports whether an entry shows the job as ended; an end that was recorded can be lost on its worker.
 	ended func(id string) bool
+	// storeTime returns the time that one direct read of the store takes.
+	storeTime func() time.Duration
 	logf  func(format string, arguments ...any)
 	// violatef receives each violation.
 	violatef func(format string, arguments ...any)
@@ -35,6 +37,7 @@
 	last      map[string]string
 	// asked are the jobs for which ended was called since they have nothing running, endedJobs those that had ended.
 	asked, endedJobs map[string]bool
+	asking           sync.WaitGroup
 }
 
 func newProgressWatch(t *testing.T, sample func() (faker.Usage, []faker.StandingJob), ended func(string) bool) *progressWatch {
@@ -49,18 +52,24 @@
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
 	var reported time.Time
+	var gap, storeTime time.Duration
+	last := time.Now()
 	for {
 		select {
 		case <-stop:
+			w.asking.Wait()
 			w.observe(time.Now(), faker.Usage{}, nil)
 			return
 		case now := <-ticker.C:
+			gap, last = max(gap, time.Since(last)), time.Now()
+			storeTime = max(storeTime, w.storeTime())
 			usage, standing := w.sample()
 			w.observe(now, usage, standing)
 			if now.Sub(reported) >= reportInterval {
 				reported = now
-				w.logf("%s: %d of %d accelerators in use, %d jobs have nothing running, %d of them with room",
-					now.UTC().Format(time.StampMilli), usage.Used, usage.Total, len(standing), w.standing())
+				w.logf("%s: %d of %d accelerators in use, %d jobs have nothing running, %d of them with room; longest since the last line: %s between samples, %s for a read of the store",
+					now.UTC().Format(time.StampMilli), usage.Used, usage.Total, len(standing), w.standing(), gap.Round(time.Millisecond), storeTime.Round(time.Millisecond))
+				gap, storeTime = 0, 0
 			}
 		}
 	}
@@ -94,10 +103,7 @@
 		}
 		if now.Sub(w.since[job.ID]) >= maxStanding/2 && !w.asked[job.ID] {
 			w.asked[job.ID] = true
-			if w.endedJobs[job.ID] = w.ended(job.ID); w.endedJobs[job.ID] {
-				delete(w.since, job.ID)
-				continue
-			}
+			w.asking.Go(func() { w.ask(job.ID) })
 		}
 		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; %d of %d accelerators in use, room for %d tasks",
 			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures, usage.Used, usage.Total, usage.Free[job.Accelerators])
@@ -111,6 +117,17 @@
 	}
 }
 
+// ask takes the job out of the watch if an entry shows it as ended.
+func (w *progressWatch) ask(id string) {
+	if !w.ended(id) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endedJobs[id] = true
+	delete(w.since, id)
+}
+
 // report logs a job that had nothing running for too long; after the end of the traffic it is an error.
 func (w *progressWatch) report(id string, since, now time.Time) {
 	if now.Sub(since) < maxStanding {
@@ -163,6 +180,7 @@
 			w.endOfLoad, w.violatef = start, func(string, ...any) { violations++ }
 			for at := time.Duration(0); at < c.span; at += sampleInterval {
 				w.observe(start.Add(c.after+at), c.usage, []faker.StandingJob{job})
+				w.asking.Wait()
 			}
 			w.observe(start.Add(c.after+c.span), c.usage, nil)
 			if violations != c.want {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -72,6 +72,7 @@
 // play runs the traffic and the faults of one seed and checks the result.
 func (s *soak) play() {
 	watch := newProgressWatch(s.t, func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) }, s.showsEnded)
+	watch.storeTime = s.storeTime
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	stopWatch := sync.OnceFunc(func() {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -43,6 +43,7 @@
 	// workerProxies are the proxies to the first workers, which all entries share.
 	workerProxies []*proxy
 	entries       []*entry
+	storeAddress  string
 }
 
 // entry is an entry VM with its process, which can be restarted after it has exited.
@@ -90,9 +91,9 @@
 		w.racks = append(w.racks, fmt.Sprintf("r1-%d", i/workersPerRack))
 		w.register(i)
 	}
-	storeAddress := serve(t, w.store)
+	w.storeAddress = serve(t, w.store)
 	for i := range entries {
-		e := w.newEntry(i, storeAddress)
+		e := w.newEntry(i, w.storeAddress)
 		w.entries = append(w.entries, e)
 		e.start()
 	}
@@ -229,3 +230,15 @@
 	}
 	return response.StatusCode, string(data)
 }
+
+// storeTime returns the time that one direct read of the store takes, without faults of a link.
+func (w *cluster) storeTime() time.Duration {
+	started := time.Now()
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + w.storeAddress + "/rows-get?table=lease&part=owner") //nolint:noctx // The client's timeout bounds the request.
+	if err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	return time.Since(started)
+}
