--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sort"
@@ -142,7 +143,7 @@
 	s.requests++
 	s.mu.Unlock()
 	if f.Silent {
-		<-r.Context().Done()
+		awaitDisconnect(r)
 		return
 	}
 	if f.Delay > 0 {
@@ -337,6 +338,12 @@
 	return response, false
 }
 
+// awaitDisconnect waits until the client gives up; the server notices that only once the body has been read.
+func awaitDisconnect(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -219,7 +219,7 @@
 	silent := w.silent
 	w.fleet.mu.Unlock()
 	if silent {
-		<-r.Context().Done()
+		awaitDisconnect(r)
 		return
 	}
 	if r.Header.Get("X-Expect-Instance") != w.ID {
