--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -340,7 +340,9 @@
 
 // awaitDisconnect waits until the client gives up; the server notices that only once the body has been read.
 func awaitDisconnect(r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	if r.Body != nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	<-r.Context().Done()
 }
 
--- a/soak/progress_test.go
+++ b/soak/progress_test.go
@@ -26,7 +26,7 @@
 	ended func(id string) bool
 	// storeTime returns the time that one direct read of the store takes.
 	storeTime func() time.Duration
-	logf  func(format string, arguments ...any)
+	logf      func(format string, arguments ...any)
 	// violatef receives each violation.
 	violatef func(format string, arguments ...any)
 	started  time.Time
