soak: Print times as in the logs of the entries

Cause: spans of standing jobs were printed with a date and in long lines, and had to be converted to be compared with the logs of the entries.

Change: times are printed as hours to milliseconds; long lines are wrapped.

--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -31,7 +31,8 @@
 // randomJob returns a job for the size of the fleet and the number of its tasks.
 func (s *soak) randomJob() (faker.TaskJob, int, bool) {
 	if !s.large() {
-		job := faker.TaskJob{Duration: time.Duration(200+s.random.IntN(3000)) * time.Millisecond, Accelerators: []int{1, 2, 4, 8}[s.random.IntN(4)]}
+		job := faker.TaskJob{Duration: time.Duration(200+s.random.IntN(3000)) * time.Millisecond}
+		job.Accelerators = []int{1, 2, 4, 8}[s.random.IntN(4)]
 		count := 1 + s.random.IntN(4)
 		if s.chance(2) {
 			job.Gang = count
--- a/soak/progress_test.go
+++ b/soak/progress_test.go
@@ -67,8 +67,10 @@
 			w.observe(now, usage, standing)
 			if now.Sub(reported) >= reportInterval {
 				reported = now
-				w.logf("%s: %d of %d accelerators in use, %d jobs have nothing running, %d of them with room; longest since the last line: %s between samples, %s for a read of the store",
-					now.UTC().Format(time.StampMilli), usage.Used, usage.Total, len(standing), w.standing(), gap.Round(time.Millisecond), storeTime.Round(time.Millisecond))
+				w.logf("%s: %d of %d accelerators in use, %d jobs have nothing running, %d of them with room; "+
+					"longest since the last line: %s between samples, %s for a read of the store",
+					stamp(now), usage.Used, usage.Total, len(standing), w.standing(),
+					gap.Round(time.Millisecond), storeTime.Round(time.Millisecond))
 				gap, storeTime = 0, 0
 			}
 		}
@@ -105,8 +107,10 @@
 			w.asked[job.ID] = true
 			w.asking.Go(func() { w.ask(job.ID) })
 		}
-		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; %d of %d accelerators in use, room for %d tasks",
-			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures, usage.Used, usage.Total, usage.Free[job.Accelerators])
+		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; "+
+			"%d of %d accelerators in use, room for %d tasks",
+			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures,
+			usage.Used, usage.Total, usage.Free[job.Accelerators])
 	}
 	for id, since := range w.since {
 		if !stands[id] {
@@ -134,7 +138,7 @@
 		return
 	}
 	text := fmt.Sprintf("job %s had nothing running from %s to %s (%.1f s to %.1f s), although it could run (%s)", id,
-		since.UTC().Format(time.StampMilli), now.UTC().Format(time.StampMilli), since.Sub(w.started).Seconds(), now.Sub(w.started).Seconds(), w.last[id])
+		stamp(since), stamp(now), since.Sub(w.started).Seconds(), now.Sub(w.started).Seconds(), w.last[id])
 	if !w.endOfLoad.IsZero() && now.Sub(later(since, w.endOfLoad.Add(finishTime))) >= maxStanding {
 		w.violatef("%s", text)
 		return
@@ -142,6 +146,9 @@
 	w.logf("during the traffic: %s", text)
 }
 
+// stamp formats a time like those in the logs of the entries, without the date.
+func stamp(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
 func later(x, y time.Time) time.Time {
 	if x.After(y) {
 		return x
@@ -152,7 +159,8 @@
 // couldRun reports whether twice the room that the job needs to begin is free and less than half of the fleet is in use.
 func couldRun(usage faker.Usage, job faker.StandingJob) bool {
 	const twice = 2
-	return job.Failures < maxAttempts && twice*usage.Used < usage.Total && usage.Free[job.Accelerators] >= twice*max(1, job.Gang)
+	return job.Failures < maxAttempts && twice*usage.Used < usage.Total &&
+		usage.Free[job.Accelerators] >= twice*max(1, job.Gang)
 }
 
 func TestStandingJobIsReportedOnlyWithRoomAndTime(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,7 +46,8 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Logf("rerun: go test ./soak -soak.first=%d -soak.steps=%d -soak.entries=%d -soak.workers=%d -soak.load=%g -soak.store=%t (timing is not fixed by the seed)",
+			t.Logf("rerun: go test ./soak -soak.first=%d -soak.steps=%d -soak.entries=%d -soak.workers=%d "+
+				"-soak.load=%g -soak.store=%t (timing is not fixed by the seed)",
 				seed, *soakSteps, *soakSize, *workers, *soakLoad, *storeDown)
 			s := &soak{cluster: newCluster(t, program, *soakSize), random: rand.New(rand.NewPCG(seed, 11)), submitted: map[string]submission{}} //nolint:gosec // The seed makes the random numbers repeatable.
 			s.play()
@@ -71,7 +72,8 @@
 
 // play runs the traffic and the faults of one seed and checks the result.
 func (s *soak) play() {
-	watch := newProgressWatch(s.t, func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) }, s.showsEnded)
+	sample := func() (faker.Usage, []faker.StandingJob) { return s.fleet.Standing(s.owed()) }
+	watch := newProgressWatch(s.t, sample, s.showsEnded)
 	watch.storeTime = s.storeTime
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
@@ -93,7 +95,7 @@
 		for _, e := range s.entries {
 			e.signal(syscall.SIGKILL)
 		}
-		s.t.Logf("%s: all entries killed", time.Now().UTC().Format(time.StampMilli))
+		s.t.Logf("%s: all entries killed", stamp(time.Now()))
 	}
 	s.clearFaults()
 	if s.large() {
@@ -104,7 +106,7 @@
 	}
 	s.clients.Wait()
 	watch.end()
-	s.t.Logf("%s: end of the traffic", time.Now().UTC().Format(time.StampMilli))
+	s.t.Logf("%s: end of the traffic", stamp(time.Now()))
 	s.verify()
 	stopWatch()
 }
@@ -254,7 +256,7 @@
 			signal = syscall.SIGKILL
 		}
 		e.signal(signal)
-		s.t.Logf("%s: owner %s: %v", time.Now().UTC().Format(time.StampMilli), e.name, signal)
+		s.t.Logf("%s: owner %s: %v", stamp(time.Now()), e.name, signal)
 	}
 }
 
