--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -141,7 +143,7 @@
 	s.requests++
 	s.mu.Unlock()
 	if f.Silent {
-		<-r.Context().Done()
+		awaitDisconnect(r)
 		return
 	}
 	if f.Delay > 0 {
@@ -327,14 +329,23 @@
 		return rowResponse{}, true
 	}
 	response := rowResponse{Ver: s.version}
-	for _, row := range s.history {
-		if row.Table == table && row.Ver > after {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Ver > after })
+	for _, row := range s.history[first:] {
+		if row.Table == table {
 			response.Rows = append(response.Rows, row)
 		}
 	}
 	return response, false
 }
 
+// awaitDisconnect waits until the client gives up; the server notices that only once the body has been read.
+func awaitDisconnect(r *http.Request) {
+	if r.Body != nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	<-r.Context().Done()
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
