director: Keep the reads of a new owner that succeeded

Cause: a new owner needs eleven reads. They were made at once, and the failure of one discarded them all; with a store that serves only part of the requests in time all eleven never succeeded together ("state not loaded" 18 times), while the lease was renewed and no other VM could take it.

Ruled out: giving up the lease after some seconds; each next owner would begin anew under the same store.

Change: the ranges that were read are kept, and only the others are read again. What was read stays valid: nobody else can write the owner's rows, and later jobs and workers come with the feeds. The log line tells how many reads are left.

Conclusion: fixed for a store that is overloaded; a store that serves nothing still holds the owner up.

--- a/director/load.go
+++ b/director/load.go
@@ -19,43 +19,90 @@
 
 // load reads all jobs, their recorded progress and the fleet, and repeats this until it succeeds; it returns false if the context ends first.
 func (t *term) load(ctx context.Context) (feedVersions, bool) {
+	var state storedState
 	for ctx.Err() == nil {
-		versions, err := t.loadOnce(ctx)
+		err := t.read(ctx, &state)
 		if err == nil {
-			return versions, true
+			return t.restore(&state), true
 		}
-		t.Logger.Warn("state not loaded", "error", err.Error())
+		t.Logger.Warn("state not loaded", "readsLeft", state.missing(), "error", err.Error())
 		sleeper.Sleep(ctx, loadRetryDelay)
 	}
 	return feedVersions{}, false
 }
 
-func (t *term) loadOnce(ctx context.Context) (feedVersions, error) {
-	var progress, listed, known platform.Page
-	var jobs jobSnapshot
-	// The reads run concurrently, since a slow store takes a quarter of a second for each.
-	err := runConcurrently(
-		func() (err error) {
-			progress, err = t.Store.Range(ctx, registrar.ProgressTable, registrar.OwnerPartition, "", "")
-			return err
-		},
-		func() (err error) {
-			from, to := registrar.WorkerKeys()
-			known, err = t.Store.Range(ctx, registrar.FleetTable, registrar.OwnerPartition, from, to)
-			return err
-		},
-		func() (err error) {
-			listed, err = t.Store.Range(ctx, platform.WorkerTable, "", "", "")
-			return err
-		},
-		func() (err error) {
-			jobs, err = t.readJobs(ctx)
+// storedState is the state that a new owner reads.
+type storedState struct {
+	progress, known, listed pageRead
+	// jobs are the partitions of the job table.
+	jobs []pageRead
+}
+
+// pageRead is a range of a table that is read until it succeeds once.
+type pageRead struct {
+	table, partition, from, to string
+
+	page platform.Page
+	done bool
+}
+
+// ranges returns all ranges of the state.
+func (s *storedState) ranges() []*pageRead {
+	ranges := []*pageRead{&s.progress, &s.known, &s.listed}
+	for i := range s.jobs {
+		ranges = append(ranges, &s.jobs[i])
+	}
+	return ranges
+}
+
+// missing returns the number of ranges that have not been read.
+func (s *storedState) missing() int {
+	missing := 0
+	for _, r := range s.ranges() {
+		if !r.done {
+			missing++
+		}
+	}
+	return missing
+}
+
+// read reads the ranges that are missing. What was read before stays valid: only this owner writes the progress and
+// the known workers, and later changes of the other tables come with their feeds.
+func (t *term) read(ctx context.Context, state *storedState) error {
+	if state.jobs == nil {
+		from, to := registrar.WorkerKeys()
+		state.progress = pageRead{table: registrar.ProgressTable, partition: registrar.OwnerPartition}
+		state.known = pageRead{table: registrar.FleetTable, partition: registrar.OwnerPartition, from: from, to: to}
+		state.listed = pageRead{table: platform.WorkerTable}
+		for _, partition := range registrar.Partitions() {
+			state.jobs = append(state.jobs, pageRead{table: registrar.JobTable, partition: partition})
+		}
+	}
+	var reads []func() error
+	for _, r := range state.ranges() {
+		if r.done {
+			continue
+		}
+		reads = append(reads, func() error {
+			page, err := t.Store.Range(ctx, r.table, r.partition, r.from, r.to)
+			if err == nil {
+				r.page, r.done = page, true
+			}
 			return err
-		},
-	)
-	if err != nil {
-		return feedVersions{}, err
+		})
 	}
+	// The reads run concurrently, since a slow store takes a quarter of a second for each.
+	return runConcurrently(reads...)
+}
+
+// restore applies the state that was read.
+func (t *term) restore(state *storedState) feedVersions {
+	progress, known, listed := state.progress.page, state.known.page, state.listed.page
+	pages := make([]platform.Page, len(state.jobs))
+	for i := range state.jobs {
+		pages[i] = state.jobs[i].page
+	}
+	jobs := newJobSnapshot(pages)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyConfig()
@@ -70,7 +117,7 @@
 		}
 	}
 	t.Logger.Info("state loaded", "epoch", t.lease.Epoch, "jobs", len(jobs.rows), "progress", len(recorded), "from", jobs.from, "workers", len(listed.Rows))
-	return feedVersions{jobs: jobs.from, workers: listed.Version}, nil
+	return feedVersions{jobs: jobs.from, workers: listed.Version}
 }
 
 // decodeProgress returns the recorded progress by job ID.
@@ -107,12 +154,17 @@
 	if err := runConcurrently(reads...); err != nil {
 		return jobSnapshot{}, err
 	}
+	return newJobSnapshot(pages), nil
+}
+
+// newJobSnapshot joins the pages of all partitions.
+func newJobSnapshot(pages []platform.Page) jobSnapshot {
 	snapshot := jobSnapshot{from: pages[0].Version}
 	for _, page := range pages {
 		snapshot.from = min(snapshot.from, page.Version)
 		snapshot.rows = append(snapshot.rows, page.Rows...)
 	}
-	return snapshot, nil
+	return snapshot
 }
 
 // runConcurrently calls the functions concurrently and joins their errors.
