arranger: Count the failures of one episode as one quarantine

Cause: each failed or stalled run of a worker doubled its quarantine, also within the same planning pass and while the worker was in quarantine already. Callers saw tasks wait in a fleet of which a large part was excluded for up to 60 s after a single short pause.

Ruled out: repeated stalls as the cause of the long quarantines: the test has a single one.

Change: quarantine has no effect on a worker in quarantine, so that a longer one only follows a failure after the end of the one before; a success resets the time as before. recordFailure reports only the begin of a quarantine, so that it is logged once. TestQuarantineDoublesOncePerEpisode is a table of episodes.

Figures: before, a worker whose 5 runs stall at once was quarantined for 60 s; now for 4 s.

Conclusion: one stall of a worker, its host or its connection excludes it for 4 s, whatever the number of its runs.

--- a/arranger/health.go
+++ b/arranger/health.go
@@ -42,14 +42,14 @@
 	h.quarantineTime = 0
 }
 
-// recordFailure counts a failed run and reports whether the worker is quarantined for it.
+// recordFailure counts a failed run and reports whether it begins a quarantine of the worker.
 func (h *health) recordFailure(job string, now time.Time) bool {
 	if h.failedJobs == nil {
 		h.failedJobs = map[string]int{}
 	}
 	h.failedJobs[job]++
 	h.failedAt = now
-	if !h.failing() {
+	if !h.failing() || !h.usable(now) {
 		return false
 	}
 	h.quarantine(now)
@@ -86,8 +86,12 @@
 	}
 }
 
-// quarantine keeps new work from the worker for a time that doubles with each repetition.
+// quarantine keeps new work from the worker for a time that doubles with each repetition. It has no effect on a
+// worker in quarantine, since runs that were started before may fail or stall after the first one.
 func (h *health) quarantine(now time.Time) {
+	if !h.usable(now) {
+		return
+	}
 	h.quarantineTime = min(max(minQuarantine, 2*h.quarantineTime), maxQuarantine)
 	h.quarantinedUntil = now.Add(h.quarantineTime)
 }
--- a/arranger/health_test.go
+++ b/arranger/health_test.go
@@ -49,3 +49,35 @@
 		}
 	}
 }
+
+// Only a quarantine that begins after the end of the one before may be longer.
+func TestQuarantineDoublesOncePerEpisode(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		failures []time.Duration
+		success  time.Duration
+		want     time.Duration
+		until    time.Duration
+	}{
+		{"one failure", []time.Duration{0}, -1, 4 * time.Second, 4 * time.Second},
+		{"failures at once", []time.Duration{0, 0, 0, 0}, -1, 4 * time.Second, 4 * time.Second},
+		{"failures during the quarantine", []time.Duration{0, 1, 2, 3}, -1, 4 * time.Second, 4 * time.Second},
+		{"failure at the end", []time.Duration{0, 4}, -1, 8 * time.Second, 12 * time.Second},
+		{"three episodes", []time.Duration{0, 1, 5, 6, 13, 14}, -1, 16 * time.Second, 29 * time.Second},
+		{"failure after a success", []time.Duration{0, 5}, 4, 4 * time.Second, 9 * time.Second},
+		{"longest quarantine", []time.Duration{0, 100, 200, 300, 400, 500}, -1, 60 * time.Second, 560 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var h health
+			for _, failure := range test.failures {
+				if test.success >= 0 && failure > test.success {
+					h.recordSuccess()
+				}
+				h.quarantine(start.Add(failure * time.Second))
+			}
+			if got := h.quarantinedUntil.Sub(start); h.quarantineTime != test.want || got != test.until {
+				t.Errorf("quarantined for %s until %s, want %s until %s", h.quarantineTime, got, test.want, test.until)
+			}
+		})
+	}
+}
--- a/arranger/idle_faults_test.go
+++ b/arranger/idle_faults_test.go
@@ -62,13 +62,23 @@
 	}
 }
 
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
 // When no other worker is left, a worker in quarantine is better than none.
 func TestAFleetInQuarantineStillRunsWaitingWork(t *testing.T) {
 	for _, times := range []int{1, 2, 3, 4} {
 		t.Run(fmt.Sprintf("quarantined %d times", times), func(t *testing.T) {
 			h := newHarness(t, 3, 4)
-			for _, w := range h.sortedWorkers {
-				for range times {
+			for range times {
+				for _, w := range h.sortedWorkers {
+					h.now = later(h.now, w.health.quarantinedUntil)
+				}
+				for _, w := range h.sortedWorkers {
 					w.health.quarantine(h.now)
 				}
 			}
