arranger: Judge a stall by when its report was requested

Callers saw runs stopped and tasks wait, since all workers that had runs were quarantined at once.

Change: recordProgress keeps the time at which the report was requested instead of its arrival, and a run is stalled if that is at least stallTimeout after its latest progress. TestOnlyAReportRequestedAfterTheStallTimeoutShowsAStall is a table of request and arrival times.

Conclusion: an answer that was written before or during a pause proves no stall. A stall is detected later than before by as long as a worker holds its answer. A request that reaches a worker's host during a pause of that host and is answered after it may still show a stall, as the run then made no progress for that time.

--- a/arranger/report.go
+++ b/arranger/report.go
@@ -60,7 +60,7 @@
 // handleRunning matches a reported run with its place; it adopts or stops a run without one.
 func (a *Arranger) handleRunning(now time.Time, w *worker, requestedAt time.Time, r RunReport) {
 	if p := w.placeOf(r); p != nil {
-		a.recordProgress(now, p, r)
+		a.recordProgress(now, requestedAt, p, r)
 		return
 	}
 	t := a.findTask(r.Task)
@@ -106,7 +106,7 @@
 	w.places = append(w.places, p)
 	a.changed = true
 	a.markStarted(t.stage.job)
-	a.recordProgress(now, p, r)
+	a.recordProgress(now, requestedAt, p, r)
 	a.options.Log("run adopted", "task", r.Task, "run", r.Run, "worker", w.ID, "percent", r.Percent)
 	if t.stage.step.Gang {
 		a.checkAdoptedGang(t.stage)
@@ -129,7 +129,7 @@
 }
 
 // recordProgress updates a place from the report of its run.
-func (a *Arranger) recordProgress(now time.Time, p *place, r RunReport) {
+func (a *Arranger) recordProgress(now, requestedAt time.Time, p *place, r RunReport) {
 	if p.state == placeStarting {
 		p.state = placeRunning
 		p.confirmedAt = now
@@ -138,7 +138,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != p.task.checkpoint {
 		a.saveCheckpoint(p.task, r.Checkpoint)
 	}
-	p.reportedAt = now
+	p.requestedAt = requestedAt
 	if r.Percent > p.percent || p.progressedAt.IsZero() {
 		p.progressedAt = now
 		if p.firstProgressAt.IsZero() && r.Percent > 0 {
--- a/arranger/stall.go
+++ b/arranger/stall.go
@@ -5,6 +5,14 @@
 // wholePercent is the percentage of a completed run.
 const wholePercent = 100
 
+// stalled reports whether a report that was requested at least stallTimeout after the run's latest progress shows
+// no more of it. The arrival of a report proves nothing: the owner, the worker's host or the network may have paused
+// after it was written.
+func (p *place) stalled() bool {
+	return p.state == placeRunning && !p.firstProgressAt.IsZero() && p.percent < wholePercent &&
+		p.requestedAt.Sub(p.progressedAt) >= stallTimeout
+}
+
 // stopStalledRuns stops runs without progress if little work is lost by starting them on another worker.
 func (a *Arranger) stopStalledRuns(now time.Time) {
 	for _, w := range a.sortedWorkers {
@@ -12,8 +20,7 @@
 			continue
 		}
 		for _, p := range w.places {
-			if p.state != placeRunning || p.firstProgressAt.IsZero() || p.task.done || p.task.stage.step.LongRunning ||
-				now.Sub(p.progressedAt) < stallTimeout || p.reportedAt.Sub(p.progressedAt) < stallTimeout || p.percent >= wholePercent {
+			if p.task.done || p.task.stage.step.LongRunning || !p.stalled() {
 				continue
 			}
 			if !p.task.stage.step.Checkpoints && p.progressedAt.Sub(p.firstProgressAt) > maxStallLoss {
--- /dev/null
+++ b/arranger/stall_test.go
@@ -0,0 +1,63 @@
+package arranger
+
+import (
+	"testing"
+	"time"
+)
+
+// reportOne lets a worker list one run of the job with the percentage, in a report that was requested before.
+func (h *harness) reportOne(s StartOrder, requested time.Time, percent int) {
+	h.HandleReport(h.now, Report{
+		Worker: s.Worker, RequestedAt: requested,
+		Running: []RunReport{{Task: s.Task.String(), Run: s.Run, Percent: percent}},
+	})
+}
+
+// startOne starts a job of a single task and returns its start.
+func (h *harness) startOne(step Step) StartOrder {
+	h.t.Helper()
+	h.AddJob(h.now, jobOf("job", 1, step), Progress{}, false)
+	o := h.planAfter(0)
+	if len(o.Starts) != 1 {
+		h.t.Fatalf("got %d starts, want 1", len(o.Starts))
+	}
+	h.confirmStarts(o)
+	return o.Starts[0]
+}
+
+// A report shows the progress at some time after its request; it may arrive much later.
+func TestOnlyAReportRequestedAfterTheStallTimeoutShowsAStall(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// requested and arrived are the times of the reports after the first one, which shows 10 percent.
+		requested, arrived []time.Duration
+		percent            int
+		want               bool
+	}{
+		{"requested after the timeout", []time.Duration{stallTimeout}, []time.Duration{stallTimeout}, 10, true},
+		{"requested just before the timeout", []time.Duration{stallTimeout - time.Nanosecond}, []time.Duration{stallTimeout}, 10, false},
+		{"requested at once, arrived late", []time.Duration{0}, []time.Duration{time.Minute}, 10, false},
+		{"requested late after a late arrival", []time.Duration{0, 4 * time.Second}, []time.Duration{3 * time.Second, 4 * time.Second}, 10, true},
+		{"progress after the timeout", []time.Duration{stallTimeout}, []time.Duration{stallTimeout}, 11, false},
+		{"complete", []time.Duration{0, stallTimeout + time.Second}, []time.Duration{0, stallTimeout + time.Second}, 100, false},
+		{"no report", nil, nil, 10, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 2)
+			s := h.startOne(single(1, 1))
+			h.now = h.now.Add(time.Second)
+			h.reportOne(s, h.now, 10)
+			h.planAfter(0)
+			began, stopped := h.now, false
+			for i := range test.requested {
+				h.now = began.Add(test.arrived[i])
+				h.reportOne(s, began.Add(test.requested[i]), test.percent)
+				stopped = stopped || len(h.planAfter(0).Stops) > 0
+			}
+			stopped = stopped || len(h.planAfter(time.Minute).Stops) > 0
+			if quarantined := h.workers[s.Worker].health.quarantineTime > 0; stopped != test.want || quarantined != test.want {
+				t.Errorf("stopped: %t, quarantined: %t, want %t", stopped, quarantined, test.want)
+			}
+		})
+	}
+}
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -34,8 +34,8 @@
 	progressedAt    time.Time
 	firstProgressAt time.Time
 	firstPercent    int
-	// reportedAt is when a report last listed the run.
-	reportedAt time.Time
+	// requestedAt is when the latest report that lists the run was requested.
+	requestedAt time.Time
 	// stopOrderedAt is when the latest stop was ordered.
 	stopOrderedAt time.Time
 	pace          pace
