arranger: Derive the stall timeout from the pace of the run

Cause: a run was stopped as stalled if its percentage did not rise for 2.5 s, although a percent of a long run takes longer; its worker was quarantined. Callers saw such runs start again and again, each time on another worker: without checkpoints in their first 3 s of progress, with checkpoints at any time.

Ruled out: late reports as the cause: the worker of the test reports once a second.

Change: the stall timeout is stallTimeout or stallPercents times the time of a percent, whichever is longer. The time of a percent is that of the run's own pace; until the run has gained minPaceProgress, at which the rounding to whole percent no longer distorts it, at least that of the step's estimate. An adopted run starts with the estimate, as its start is not known. The new table tests cover long and short runs, wrong and missing estimates and adopted runs.

In the table, a run with 36 s per percent that stalls is stopped 108 to 114 s after its latest progress, and one with 0.1 s per percent 2.5 to 4 s after it.

Conclusion: runs of hours are not taken for stalled; their stalls are found correspondingly later.

--- a/arranger/health.go
+++ b/arranger/health.go
@@ -20,6 +20,9 @@
 	// stallTimeout is how long a run may make no progress before it is started elsewhere; workers report about
 	// once a second.
 	stallTimeout = 2500 * time.Millisecond
+	// stallPercents is the number of percents in whose expected time a run must make progress, if that is longer
+	// than stallTimeout.
+	stallPercents = 3
 	// maxStallLoss is the most work that is discarded to move a stalled run, since it may still make progress
 	// where it is.
 	maxStallLoss = 3 * time.Second
--- a/arranger/stall.go
+++ b/arranger/stall.go
@@ -5,12 +5,31 @@
 // wholePercent is the percentage of a completed run.
 const wholePercent = 100
 
-// stalled reports whether a report that was requested at least stallTimeout after the run's latest progress shows
-// no more of it. The arrival of a report proves nothing: the owner, the worker's host or the network may have paused
+// percentTime returns how long the run takes for one percent by its own pace. Before it has gained enough for that,
+// the result is not below the estimate.
+func (p *place) percentTime() time.Duration {
+	estimate := p.task.stage.step.Estimate / wholePercent
+	gained := p.percent - p.firstPercent
+	switch {
+	case gained > 0:
+		pace := p.progressedAt.Sub(p.firstProgressAt) / time.Duration(gained)
+		if gained >= minPaceProgress {
+			return pace
+		}
+		return max(pace, estimate)
+	case !p.adopted && p.firstPercent > 0:
+		return max(p.firstProgressAt.Sub(p.placedAt)/time.Duration(p.firstPercent), estimate)
+	default:
+		return estimate
+	}
+}
+
+// stalled reports whether a report that was requested at least the stall timeout after the run's latest progress
+// shows no more of it. The arrival of a report proves nothing: the owner, the worker's host or the network may have paused
 // after it was written.
 func (p *place) stalled() bool {
 	return p.state == placeRunning && !p.firstProgressAt.IsZero() && p.percent < wholePercent &&
-		p.requestedAt.Sub(p.progressedAt) >= stallTimeout
+		p.requestedAt.Sub(p.progressedAt) >= max(stallTimeout, stallPercents*p.percentTime())
 }
 
 // stopStalledRuns stops runs without progress if little work is lost by starting them on another worker.
--- a/arranger/stall_test.go
+++ b/arranger/stall_test.go
@@ -61,3 +61,66 @@
 		})
 	}
 }
+
+// A run of hours gains a percent every half minute, whatever its estimate.
+func TestTheStallTimeoutFollowsThePaceOfTheRun(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		estimate time.Duration
+		// percentTime is how long a percent takes until the run stops to make progress at stopsAt percent.
+		percentTime time.Duration
+		stopsAt     int
+		// least and most bound the time from the latest progress to the stop.
+		least, most time.Duration
+	}{
+		{"short run", 10 * time.Second, 100 * time.Millisecond, 30, stallTimeout, 4 * time.Second},
+		{"long run at the first percent", 400 * time.Second, 4 * time.Second, 1, 12 * time.Second, 16 * time.Second},
+		{"long run", 400 * time.Second, 4 * time.Second, 20, 12 * time.Second, 14 * time.Second},
+		{"run of an hour", time.Hour, 36 * time.Second, 10, 108 * time.Second, 110 * time.Second},
+		{"estimate too short", time.Second, 36 * time.Second, 10, 108 * time.Second, 110 * time.Second},
+		{"estimate too short, first percent", time.Second, 36 * time.Second, 1, 108 * time.Second, 114 * time.Second},
+		{"estimate too long", time.Hour, 100 * time.Millisecond, 30, stallTimeout, 4 * time.Second},
+		{"no estimate", 0, 4 * time.Second, 10, 12 * time.Second, 14 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 2)
+			step := single(1, 1)
+			step.Estimate, step.Checkpoints = test.estimate, true
+			s := h.startOne(step)
+			began, progressed, percent := h.now, h.now, 0
+			for h.now.Sub(progressed) < 5*time.Minute {
+				h.now = h.now.Add(time.Second)
+				now := min(test.stopsAt, int(h.now.Sub(began)/test.percentTime))
+				if now > percent {
+					progressed, percent = h.now, now
+				}
+				h.reportOne(s, h.now, percent)
+				if o := h.planAfter(0); len(o.Stops) == 0 {
+					continue
+				}
+				if got := h.now.Sub(progressed); percent < test.stopsAt || got < test.least || got > test.most {
+					t.Errorf("stopped %s after its latest progress at %d percent, want %s to %s at %d", got, percent, test.least, test.most, test.stopsAt)
+				}
+				return
+			}
+			t.Errorf("not stopped for %s after it reached %d percent", h.now.Sub(progressed), percent)
+		})
+	}
+}
+
+// The pace of an adopted run before its adoption is not known.
+func TestAnAdoptedRunIsMeasuredByItsEstimateFirst(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	step := single(1, 1)
+	step.Estimate, step.Checkpoints = 400*time.Second, true
+	h.ExpectReport("w0-0", h.now.Add(time.Minute))
+	h.AddJob(h.now, jobOf("job", 1, step), Progress{}, true)
+	s := StartOrder{Task: TaskName{Job: "job"}, Run: 9, Worker: "w0-0"}
+	for range 11 {
+		h.now = h.now.Add(time.Second)
+		h.reportOne(s, h.now, 50)
+		if o := h.planAfter(0); len(o.Stops) > 0 {
+			t.Fatalf("stopped after %s: %s", h.now.Sub(start), o.Stops[0].Reason)
+		}
+	}
+}
