arranger: Limit the share of a service in quarantine

Cause: nothing bounded how many workers were in quarantine at once, so that faults with a common cause excluded most of a fleet or all of it, for up to 60 s. Callers saw tasks wait although workers were idle.

Ruled out: other reasons to exclude a worker: those of the test answer and have nothing running.

Change: at the begin of a planning pass, if quarantine excludes more than 40 percent of the workers of a service that answer and are not draining (maxQuarantinePercent), those that have been in quarantine longest are readmitted. They stay suspect, and a new failure excludes them again, for the same time until the end of their quarantine and for the doubled time after it. The only worker of a service is never excluded, one of two may be. Silent, draining and removed workers and those without a report count neither as quarantined nor in the total. A line is logged when the limit begins and ends to bind; passes only take place while work waits, so that the end may be logged late. health.usable is the one definition for planning and advice. The mixed benchmark has a variant with half of the fleet in quarantine.

Conclusion: quarantine leaves at least 60 percent of the workers of a service with three or more that answer to its waiting work.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -34,6 +34,8 @@
 	urgentUsage usageHistory
 	// speeds rates the speed of the workers.
 	speeds speedRatings
+	// quarantineLimited is the set of services of which more workers failed than quarantine may exclude.
+	quarantineLimited map[string]bool
 	// changed is set when an event since the last planning pass may allow new placements.
 	changed  bool
 	sequence int
--- a/arranger/arranger_bench_test.go
+++ b/arranger/arranger_bench_test.go
@@ -69,11 +69,15 @@
 	}
 }
 
-// BenchmarkMixedPlan1100Workers measures a planning pass with 20,000 waiting tasks and a full fleet after a
-// worker has become free.
-func BenchmarkMixedPlan1100Workers(b *testing.B) {
+// benchmarkMixedPlan measures a planning pass with 20,000 waiting tasks and a full fleet of which some workers are in
+// quarantine.
+func benchmarkMixedPlan(b *testing.B, quarantined int) {
+	b.Helper()
 	const workers, waiting = 1100, 20_000
 	a := loaded(b, workers, 0)
+	for _, w := range a.sortedWorkers[:quarantined] {
+		w.health.quarantinedUntil = start.Add(time.Hour)
+	}
 	now := start
 	mixedLoad(a, now, waiting)
 	a.Plan(now)
@@ -86,6 +90,9 @@
 	}
 }
 
+func BenchmarkMixedPlan1100Workers(b *testing.B)                 { benchmarkMixedPlan(b, 0) }
+func BenchmarkMixedPlan1100WorkersHalfInQuarantine(b *testing.B) { benchmarkMixedPlan(b, 550) }
+
 // benchmarkFill measures the first planning pass of a new owner with an empty fleet and 8,000 waiting tasks; the
 // speeds, in steps above the average, are assigned to the workers in turn.
 func benchmarkFill(b *testing.B, speeds ...int) {
--- a/arranger/health.go
+++ b/arranger/health.go
@@ -31,13 +31,19 @@
 // health tracks the failures of runs on a worker.
 type health struct {
 	// failedJobs counts the consecutive failed runs by job.
-	failedJobs       map[string]int
-	failedAt         time.Time
-	quarantinedUntil time.Time
-	quarantineTime   time.Duration
+	failedJobs                      map[string]int
+	failedAt                        time.Time
+	quarantinedAt, quarantinedUntil time.Time
+	quarantineTime                  time.Duration
+	// readmitted means that the worker may be used before the end of its quarantine, as too many are in quarantine.
+	readmitted bool
 }
 
-func (h *health) usable(now time.Time) bool { return !now.Before(h.quarantinedUntil) }
+// usable reports whether the worker is not in quarantine or has been readmitted.
+func (h *health) usable(now time.Time) bool { return !h.inQuarantine(now) || h.readmitted }
+
+// inQuarantine reports whether the time of the latest quarantine has not passed.
+func (h *health) inQuarantine(now time.Time) bool { return now.Before(h.quarantinedUntil) }
 
 // recordSuccess clears the worker's failures.
 func (h *health) recordSuccess() {
@@ -90,11 +96,17 @@
 }
 
 // quarantine keeps new work from the worker for a time that doubles with each repetition. It has no effect on a
-// worker in quarantine, since runs that were started before may fail or stall after the first one.
+// worker in quarantine, since runs that were started before may fail or stall after the first one. One that has been
+// readmitted is excluded again for the same time.
 func (h *health) quarantine(now time.Time) {
 	if !h.usable(now) {
 		return
 	}
-	h.quarantineTime = min(max(minQuarantine, 2*h.quarantineTime), maxQuarantine)
-	h.quarantinedUntil = now.Add(h.quarantineTime)
+	next := 2 * h.quarantineTime
+	if h.inQuarantine(now) {
+		next = h.quarantineTime
+	}
+	h.quarantineTime = min(max(minQuarantine, next), maxQuarantine)
+	h.quarantinedAt, h.quarantinedUntil = now, now.Add(h.quarantineTime)
+	h.readmitted = false
 }
--- /dev/null
+++ b/arranger/quarantine.go
@@ -0,0 +1,85 @@
+package arranger
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxQuarantinePercent is the share of a service's workers that may be in quarantine at once. Failures of more of
+// them have a common cause, such as a pause of a host or of the network, that other workers share.
+const maxQuarantinePercent = 40
+
+// quarantineCount counts the workers of a service that answer and are not draining.
+type quarantineCount struct {
+	workers, readmitted int
+	// excluded are those in quarantine that have not been readmitted, in the order of their IDs.
+	excluded []*worker
+}
+
+// limit returns how many of the workers may be excluded at once. It is less than all, since a worker in quarantine is
+// better than none, but one of two workers may be excluded.
+func (c *quarantineCount) limit() int {
+	return max(c.workers*maxQuarantinePercent/100, min(1, c.workers-1))
+}
+
+// limitQuarantine readmits the workers that have been in quarantine longest where it excludes too many of a service.
+func (a *Arranger) limitQuarantine(now time.Time) {
+	if len(a.quarantineLimited) == 0 && !slices.ContainsFunc(a.sortedWorkers, func(w *worker) bool { return w.health.inQuarantine(now) }) {
+		return
+	}
+	counts := a.countQuarantined(now)
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
+		c := counts[service]
+		quarantined := len(c.excluded) + c.readmitted
+		if excess := len(c.excluded) - c.limit(); excess > 0 {
+			slices.SortStableFunc(c.excluded, func(x, y *worker) int { return x.health.quarantinedAt.Compare(y.health.quarantinedAt) })
+			for _, w := range c.excluded[:excess] {
+				w.health.readmitted = true
+			}
+			c.readmitted += excess
+		}
+		limited := c.readmitted > 0 && quarantined > c.limit()
+		if limited == a.quarantineLimited[service] {
+			continue
+		}
+		message := "quarantine limit no longer exceeded"
+		if limited {
+			message = "quarantine limit exceeded"
+			if a.quarantineLimited == nil {
+				a.quarantineLimited = map[string]bool{}
+			}
+			a.quarantineLimited[service] = true
+		} else {
+			delete(a.quarantineLimited, service)
+		}
+		a.options.Log(message, "service", service, "quarantined", quarantined, "readmitted", c.readmitted, "workers", c.workers)
+	}
+}
+
+// countQuarantined counts the workers by service.
+func (a *Arranger) countQuarantined(now time.Time) map[string]*quarantineCount {
+	counts := map[string]*quarantineCount{}
+	for service := range a.quarantineLimited {
+		counts[service] = &quarantineCount{}
+	}
+	for _, w := range a.sortedWorkers {
+		if !w.hasReported || !w.reachable || w.Draining {
+			continue
+		}
+		c := counts[w.Service]
+		if c == nil {
+			c = &quarantineCount{}
+			counts[w.Service] = c
+		}
+		c.workers++
+		switch {
+		case !w.health.inQuarantine(now):
+		case w.health.readmitted:
+			c.readmitted++
+		default:
+			c.excluded = append(c.excluded, w)
+		}
+	}
+	return counts
+}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -105,6 +105,7 @@
 		minSpeed: math.Inf(1),
 	}
 	a.speeds.update(now)
+	a.limitQuarantine(now)
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
