--- a/arranger/health.go
+++ b/arranger/health.go
@@ -20,6 +20,9 @@
 	// stallTimeout is how long a run may make no progress before it is started elsewhere; workers report about
 	// once a second.
 	stallTimeout = 2500 * time.Millisecond
+	// stallPercents is the number of percents in whose expected time a run must make progress, if that is longer
+	// than stallTimeout.
+	stallPercents = 3
 	// maxStallLoss is the most work that is discarded to move a stalled run, since it may still make progress
 	// where it is.
 	maxStallLoss = 3 * time.Second
@@ -28,15 +31,21 @@
 // health tracks the failures of runs on a worker.
 type health struct {
 	// failedJobs counts the consecutive failed runs by job.
-	failedJobs       map[string]int
-	failedAt         time.Time
-	quarantinedUntil time.Time
-	quarantineTime   time.Duration
+	failedJobs                      map[string]int
+	failedAt                        time.Time
+	quarantinedAt, quarantinedUntil time.Time
+	quarantineTime                  time.Duration
+	// readmitted means that the worker may be used before the end of its quarantine, as too many are in quarantine.
+	readmitted bool
 	// endUnlogged means that the end of the latest quarantine has not been logged.
 	endUnlogged bool
 }
 
-func (h *health) usable(now time.Time) bool { return !now.Before(h.quarantinedUntil) }
+// usable reports whether the worker is not in quarantine or has been readmitted.
+func (h *health) usable(now time.Time) bool { return !h.inQuarantine(now) || h.readmitted }
+
+// inQuarantine reports whether the time of the latest quarantine has not passed.
+func (h *health) inQuarantine(now time.Time) bool { return now.Before(h.quarantinedUntil) }
 
 // recordSuccess clears the worker's failures.
 func (h *health) recordSuccess() {
@@ -44,14 +53,14 @@
 	h.quarantineTime = 0
 }
 
-// recordFailure counts a failed run and reports whether the worker is quarantined for it.
+// recordFailure counts a failed run and reports whether it begins a quarantine of the worker.
 func (h *health) recordFailure(job string, now time.Time) bool {
 	if h.failedJobs == nil {
 		h.failedJobs = map[string]int{}
 	}
 	h.failedJobs[job]++
 	h.failedAt = now
-	if !h.failing() {
+	if !h.failing() || !h.usable(now) {
 		return false
 	}
 	h.quarantine(now)
@@ -88,10 +97,20 @@
 	}
 }
 
-// quarantine keeps new work from the worker for a time that doubles with each repetition.
+// quarantine keeps new work from the worker for a time that doubles with each repetition. It has no effect on a
+// worker in quarantine, since runs that were started before may fail or stall after the first one. One that has been
+// readmitted is excluded again for the same time.
 func (h *health) quarantine(now time.Time) {
-	h.quarantineTime = min(max(minQuarantine, 2*h.quarantineTime), maxQuarantine)
-	h.quarantinedUntil = now.Add(h.quarantineTime)
+	if !h.usable(now) {
+		return
+	}
+	next := 2 * h.quarantineTime
+	if h.inQuarantine(now) {
+		next = h.quarantineTime
+	}
+	h.quarantineTime = min(max(minQuarantine, next), maxQuarantine)
+	h.quarantinedAt, h.quarantinedUntil = now, now.Add(h.quarantineTime)
+	h.readmitted = false
 	h.endUnlogged = true
 }
 
