arranger: Apply the reserve by the use of the whole fleet

Cause: callers saw jobs with nothing running while under half of the fleet was in use. exceedsReserve kept accelerators free as soon as half of those of the workers in planning were taken, with claims counted as taken. Each worker in quarantine, blocked or unreachable lowered this limit below half of the fleet, until the window of urgent use had passed.

Ruled out: lack of room. In TestTheReserveDoesNotHoldBackWorkBelowHalfOfTheFleet 18 accelerators on usable workers are free and the task needs 4.

Change: accelerators are kept free only while ordered work uses more than 0.6 of the accelerators of all known workers. Claims do not count, tasks that the pass starts count at once. The size of the reserve is as before. New tests: five ways in which a worker is excluded, the reserve within a pass, and claims.

With the condition of before, all five cases of TestExcludedWorkersDoNotBringTheReserveForward and the case "claimed" fail.

Conclusion: workers that can't take work no longer bring the reserve forward. Above 0.6 it holds work back as before, which the bounds of TestSingleTasksDoNotStarveAGang and TestTheReserveFollowsWhatUrgentWorkUsedLately show, both unchanged.

--- a/arranger/reserve.go
+++ b/arranger/reserve.go
@@ -8,8 +8,11 @@
 // each accelerator that becomes free.
 
 const (
-	// maxReserveShare and minReserveShare bound the share of the accelerators that is kept free for urgent work
-	// while more than half of the fleet is in use.
+	// reserveFromUse is the share of the accelerators of all known workers that ordered work must exceed for any to
+	// be kept free. Waiting work is to start while half of the fleet is free; the difference covers ends whose
+	// reports are under way.
+	reserveFromUse = 0.6
+	// maxReserveShare and minReserveShare bound the share of the accelerators that is kept free for urgent work.
 	maxReserveShare = 0.3
 	minReserveShare = 0.08
 	// usageWindowSeconds is the length of the window over which the use of accelerators by urgent work is
@@ -30,7 +33,7 @@
 // waiting gangs that precede them.
 func (ps *pass) exceedsReserve(u unit, tasks []*task) bool {
 	need := len(tasks) * u.stage.step.Need.Accelerators
-	if u.rank <= rankUrgent || need == 0 || 2*ps.free >= ps.accelerators {
+	if u.rank <= rankUrgent || need == 0 || !ps.fleetIsBusy() {
 		return false
 	}
 	reserved := ps.reserve
@@ -40,6 +43,12 @@
 	return float64(ps.free-need) < reserved
 }
 
+// fleetIsBusy reports whether so much of the fleet is in use that accelerators are kept free. Workers that take no
+// part in planning count as well: otherwise their loss would keep the rest idle.
+func (ps *pass) fleetIsBusy() bool {
+	return float64(ps.inUse) > reserveFromUse*float64(ps.installed)
+}
+
 // usageHistory records the use of accelerators by urgent work over the last seconds.
 type usageHistory struct {
 	since   time.Time
--- a/arranger/reserve_test.go
+++ b/arranger/reserve_test.go
@@ -103,3 +103,80 @@
 		})
 	}
 }
+
+// Workers that can't take work keep the share in use low, as if they were free.
+func TestExcludedWorkersDoNotBringTheReserveForward(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		exclude func(h *harness, w *worker)
+	}{
+		{"quarantined", func(h *harness, w *worker) { w.health.quarantinedUntil = h.now.Add(time.Hour) }},
+		{"unreachable", func(h *harness, w *worker) { h.SetReachable(w.ID, false) }},
+		{"blocked", func(h *harness, w *worker) { w.blockedUntil = h.now.Add(time.Hour) }},
+		{"draining", func(_ *harness, w *worker) { w.Draining = true }},
+		{"with an orphan of unknown size", func(_ *harness, w *worker) { w.orphanSizeUnknown = true }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 10)
+			for _, w := range h.sortedWorkers[:4] {
+				test.exclude(h, w)
+			}
+			h.AddJob(h.now, jobOf("running", 1, single(40, 1)), Progress{}, false)
+			h.confirmStarts(h.planAfter(0))
+			h.AddJob(h.now, jobOf("waiting", 1, single(1, 8)), Progress{}, false)
+			if starts := h.planAfter(time.Second).Starts; len(starts) != 1 {
+				t.Errorf("%d starts with 40 of 80 accelerators in use, want 1", len(starts))
+			}
+		})
+	}
+}
+
+// Tasks that are placed in one pass count as in use for the next ones, or the pass would take the reserve as well.
+func TestTheReserveLastsThroughAPass(t *testing.T) {
+	const kept = 24
+	h := newHarness(t, 1, 10)
+	h.AddJob(h.now, jobOf("wide", 1, single(80, 1)), Progress{}, false)
+	for range 2 {
+		h.confirmStarts(h.planAfter(10 * time.Millisecond))
+		if free := 80 - len(h.jobs["wide"].stages[0].placed()); free != kept {
+			t.Errorf("%d of 80 accelerators are free, want %d", free, kept)
+		}
+	}
+}
+
+// placed returns the tasks of the stage that have a place.
+func (s *stage) placed() []*task {
+	var placed []*task
+	for _, t := range s.tasks {
+		if t.place != nil {
+			placed = append(placed, t)
+		}
+	}
+	return placed
+}
+
+// Claims may end without a run, so that they say nothing about the use of the fleet.
+func TestOnlyOrderedWorkMakesTheFleetBusy(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		state placeState
+		want  bool
+	}{
+		{"claimed", placeClaimed, false},
+		{"starting", placeStarting, true},
+		{"running", placeRunning, true},
+		{"stopping", placeStopping, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1, 10)
+			h.AddJob(h.now, jobOf("wide", 0, single(7, 8)), Progress{}, false)
+			h.planAfter(0)
+			for _, task := range h.jobs["wide"].stages[0].placed() {
+				task.place.state = test.state
+			}
+			if got := h.newPass(h.now, h.ranks()).fleetIsBusy(); got != test.want {
+				t.Errorf("busy is %t with 56 of 80 accelerators %s, want %t", got, test.name, test.want)
+			}
+		})
+	}
+}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -64,6 +64,9 @@
 	rackByName map[string]*rackCapacity
 	// accelerators and free are the total and the free accelerators of all candidates.
 	accelerators, free int
+	// installed is the number of accelerators of all known workers, inUse the number that ordered work uses there,
+	// without claims.
+	installed, inUse int
 	// reserve is the number of accelerators kept free for urgent work, urgentUsed the number that urgent work
 	// uses.
 	reserve    float64
@@ -110,6 +113,8 @@
 		w.candidate = nil
 		ps.pendingStarts += w.pendingStarts()
 		ps.urgentUsed += ps.urgentUseOf(w)
+		ps.installed += w.Capacity.Accelerators
+		ps.inUse += w.inUse().Accelerators
 		if !w.schedulable(now) {
 			continue
 		}
@@ -334,6 +339,7 @@
 	}
 	if len(p.victims) == 0 && a.canStart(ps.now, group) {
 		ps.pendingStarts += len(group)
+		ps.inUse += len(group) * u.stage.step.Need.Accelerators
 		a.start(ps.now, group, "capacity is free")
 		return
 	}
