director: Send starts on recorded workers without another write

Cause: with the record before each start nothing at all was started while the store was unavailable.

Ruled out: starts without a record during an outage; the next owner cannot tell a dead owner from one that is cut off from the store alone.

Change: the owner knows which workers the row of a job lists in the store, whatever the outcome of a write under way, and sends a start there at once; tasks of a job so continue on its workers through an outage. The members of a gang are still sent together after a write.

Figures: the new tests pass: a job of three tasks runs all of them during an outage of 4 s, which before started none of the last two; a worker counts as recorded only under each row that the store may hold.

--- a/arranger/model.go
+++ b/arranger/model.go
@@ -216,7 +216,9 @@
 	// Ticket is the advice service's permission for the worker; empty if the queue needs no advice.
 	Ticket string
 	// Speed is the rated speed of the worker relative to the average.
-	Speed  float64
+	Speed float64
+	// Gang means that the task works only together with the other tasks of its step.
+	Gang   bool
 	Reason string
 }
 
--- a/director/orders.go
+++ b/director/orders.go
@@ -27,7 +27,7 @@
 // dispatch sends the requests that the arranger decided on; the caller holds the term's mutex.
 func (t *term) dispatch(ctx context.Context) {
 	orders := t.arranger.TakeOrders()
-	t.recordStarts(orders.Starts)
+	t.recordStarts(ctx, orders.Starts)
 	t.requestAdvice(ctx, orders.AdviceRequests)
 	for _, order := range orders.Stops {
 		s := t.sessions[order.Worker]
--- a/director/silent_test.go
+++ b/director/silent_test.go
@@ -96,3 +96,18 @@
 		}
 	})
 }
+
+func TestAJobContinuesOnItsWorkersWhileTheStoreIsUnavailable(t *testing.T) {
+	runService(t, 1, 1, func(s *service) {
+		e := s.entries[0]
+		s.submit(e, jobA, faker.TaskJob{Duration: time.Second, Accelerators: 8}, 3)
+		s.await(e, jobA, "running", time.Second)
+		s.store.SetFaults(faker.RowFaults{Silent: true})
+		time.Sleep(4 * time.Second)
+		if got := s.fleet.Starts(jobA); got != 3 {
+			t.Errorf("%d starts during the outage, want all 3", got)
+		}
+		s.store.SetFaults(faker.RowFaults{})
+		s.await(e, jobA, "succeeded", 3*time.Second)
+	})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -59,6 +59,8 @@
 	policies map[string]arranger.Policy
 	// unsent are the starts that wait for the record of their workers, by job.
 	unsent map[string][]unsentStart
+	// recorded are the workers in the progress rows that this owner has written, by job.
+	recorded map[string]recordedWorkers
 	// loaded means that the state of the previous owner has been loaded.
 	loaded bool
 	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended.
@@ -75,7 +77,7 @@
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version,
 		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
-		unsent: map[string][]unsentStart{},
+		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
 	}
 	t.arranger = arranger.New(arranger.Options{
 		RunBase: lease.Epoch * runsPerEpoch, WorkersRecorded: lease.WorkersRecorded, StopTime: d.Bounds.StopTime, RemoteFactor: d.Bounds.RemoteFactor,
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -9,7 +9,8 @@
 
 // Starts are sent once the store lists their workers in the progress row of the
 // job. The next owner then knows on which workers runs of a job may exist, and
-// waits for the reports of these only.
+// waits for the reports of these only. A worker that is listed already needs no
+// new write, so a job continues on its workers while the store is unavailable.
 
 // unsentStart is a start that waits for a write of its job's progress row.
 type unsentStart struct {
@@ -18,8 +19,8 @@
 	change uint64
 }
 
-// recordStarts schedules a write of the workers of the starts, which are sent when it is confirmed; the caller holds the term's mutex.
-func (t *term) recordStarts(orders []arranger.StartOrder) {
+// recordStarts sends the starts whose workers are recorded, and schedules a write of the other workers, whose starts are sent when it is confirmed; the caller holds the term's mutex.
+func (t *term) recordStarts(ctx context.Context, orders []arranger.StartOrder) {
 	if len(orders) == 0 {
 		return
 	}
@@ -27,11 +28,51 @@
 	for _, order := range orders {
 		ids = append(ids, order.Task.Job)
 	}
+	// The rows of jobs whose starts are sent at once are written as well: they have to keep the workers.
 	change := t.writer.markJobsDirty(slices.Compact(ids))
+	t.writer.signal()
 	for _, order := range orders {
+		// The members of a gang are sent together.
+		if !order.Gang && t.recorded[order.Task.Job].lists(order.Worker) {
+			t.sendStart(ctx, order)
+			continue
+		}
 		t.unsent[order.Task.Job] = append(t.unsent[order.Task.Job], unsentStart{order: order, change: change})
 	}
-	t.writer.signal()
+}
+
+// recordedWorkers are the workers in a job's progress row: those in the store, and those in a write whose outcome is
+// not known yet.
+type recordedWorkers struct {
+	stored, pending []string
+	isPending       bool
+}
+
+// lists reports whether the row in the store lists the worker, whatever the outcome of the pending write.
+func (r recordedWorkers) lists(worker string) bool {
+	return slices.Contains(r.stored, worker) && (!r.isPending || slices.Contains(r.pending, worker))
+}
+
+// noteWrite records that a write of the job's row with the workers begins. After one without a known outcome, the row
+// may be that of either write; the caller holds the term's mutex.
+func (t *term) noteWrite(id string, workers []string) {
+	r := t.recorded[id]
+	if r.isPending {
+		r.stored = slices.DeleteFunc(slices.Clone(r.stored), func(worker string) bool { return !slices.Contains(r.pending, worker) })
+	}
+	r.pending, r.isPending = workers, true
+	t.recorded[id] = r
+}
+
+// confirmWrites records that the last writes of the jobs' rows have been executed; the caller holds the term's mutex.
+func (t *term) confirmWrites(ids []string) {
+	for _, id := range ids {
+		if r := t.recorded[id]; len(r.pending) > 0 {
+			t.recorded[id] = recordedWorkers{stored: r.pending}
+			continue
+		}
+		delete(t.recorded, id)
+	}
 }
 
 // sendRecorded sends the starts whose workers the batch has recorded; the caller holds the term's mutex.
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -23,7 +23,7 @@
 	if len(starts) != 1 {
 		t.Fatalf("got %d starts, want one", len(starts))
 	}
-	owner.recordStarts(starts)
+	owner.recordStarts(context.Background(), starts)
 	return owner, starts[0]
 }
 
@@ -111,3 +111,42 @@
 		})
 	}
 }
+
+func TestAWorkerCountsAsRecordedUnderEachPossibleRow(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		writes func(owner *term)
+		want   bool
+	}{
+		{"no row of this owner", func(*term) {}, false},
+		{"first write pending", func(owner *term) { owner.noteWrite("job", []string{"w1"}) }, false},
+		{"written", func(owner *term) {
+			owner.noteWrite("job", []string{"w1"})
+			owner.confirmWrites([]string{"job"})
+		}, true},
+		{"write without the worker pending", func(owner *term) {
+			owner.noteWrite("job", []string{"w1"})
+			owner.confirmWrites([]string{"job"})
+			owner.noteWrite("job", nil)
+		}, false},
+		{"write without the worker has no known outcome", func(owner *term) {
+			owner.noteWrite("job", []string{"w1"})
+			owner.confirmWrites([]string{"job"})
+			owner.noteWrite("job", nil)
+			owner.noteWrite("job", []string{"w1"})
+		}, false},
+		{"written again after a write without a known outcome", func(owner *term) {
+			owner.noteWrite("job", nil)
+			owner.noteWrite("job", []string{"w1", "w2"})
+			owner.confirmWrites([]string{"job"})
+		}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			owner := newFleetTerm(t, time.Now(), 1)
+			test.writes(owner)
+			if got := owner.recorded["job"].lists("w1"); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/director/writer.go
+++ b/director/writer.go
@@ -367,10 +367,16 @@
 	if w.deferRejected(b, id, t.now()) {
 		return true
 	}
-	if len(b.puts) >= w.rowLimit() || !b.add(t.progressRow(id), w.rowLimit()) {
+	if len(b.puts) >= w.rowLimit() {
 		b.complete = false
 		return false
 	}
+	row := t.progressRow(id)
+	if !b.add(row.Row, w.rowLimit()) {
+		b.complete = false
+		return false
+	}
+	t.noteWrite(id, row.workers)
 	delete(w.dirtyJobs, id)
 	b.jobs = append(b.jobs, id)
 	return true
@@ -406,8 +412,14 @@
 	w.pendingWrittenAt = now
 }
 
+// progressRow is a progress row with the workers that it lists.
+type progressRow struct {
+	platform.Row
+	workers []string
+}
+
 // progressRow returns the current progress row of a job, without checkpoints if it would be too large with them.
-func (t *term) progressRow(id string) platform.Row {
+func (t *term) progressRow(id string) progressRow {
 	record := t.records[id]
 	p := registrar.Progress{Progress: t.arranger.Progress(id), Organisation: record.organisation, Queue: record.queue}
 	if p.State.Final() {
@@ -425,7 +437,7 @@
 		p.Progress = p.WithoutCheckpoints()
 		row.Value = registrar.Encode(p)
 	}
-	return row
+	return progressRow{Row: row, workers: p.Workers}
 }
 
 // confirmBatch marks the content of a written batch as recorded.
@@ -449,6 +461,7 @@
 	for _, s := range t.sessions {
 		s.updateRecorded()
 	}
+	t.confirmWrites(b.jobs)
 	t.sendRecorded(t.baseCtx, b)
 	t.mu.Unlock()
 }
