arranger: Spread a gang that waits for a rack in an idle fleet

Cause: callers saw gangs with nothing running while under half of the fleet was in use. A gang for one rack was spread over several only if it exceeded the largest empty rack, counted over all workers. One worker in each rack that was silent, in quarantine or in use by one task kept a gang of the size of a rack from starting for as long as that lasted.

Change: whether a gang fits into an empty rack is decided by the workers that take part in planning and those whose reports a new owner awaits. A gang for which passes have found no room for 2 s is spread while the fleet is not busy in the sense of the reserve. The class of units that find no capacity follows the same decision, so that a gang that must not be spread yet blocks none that may be. Ordered work is counted in one loop over the places of a worker.

Conclusion: in a busy fleet a gang waits for a rack as before, unless no rack has enough usable workers.

--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -12,6 +12,10 @@
 // at once delays urgent starts by thousands of others.
 const maxPendingStarts = 400
 
+// gangSpreadDelay is how long a gang waits for room in one rack before it is spread over several while the fleet is
+// not busy.
+const gangSpreadDelay = 2 * time.Second
+
 // candidate is a schedulable worker with its free capacity during a planning pass.
 type candidate struct {
 	worker *worker
@@ -111,10 +115,9 @@
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
-		ps.pendingStarts += w.pendingStarts()
 		ps.urgentUsed += ps.urgentUseOf(w)
 		ps.installed += w.Capacity.Accelerators
-		ps.inUse += w.inUse().Accelerators
+		ps.countOrderedWork(w)
 		if !w.schedulable(now) {
 			continue
 		}
@@ -157,21 +160,27 @@
 	r.accelerators += cand.worker.Capacity.Accelerators
 }
 
-// pendingStarts returns the number of starts on the worker whose outcome is not known yet.
-func (w *worker) pendingStarts() int {
-	count := 0
+// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims, and the starts whose
+// outcome is not known yet.
+func (ps *pass) countOrderedWork(w *worker) {
 	for _, p := range w.places {
+		if p.state != placeClaimed {
+			ps.inUse += p.task.stage.step.Need.Accelerators
+		}
 		if p.state == placeStarting {
-			count++
+			ps.pendingStarts++
 		}
 	}
-	return count
+	for _, orphan := range w.orphans {
+		ps.inUse += orphan.Accelerators
+	}
 }
 
 // place finds capacity for a unit and orders its start, or claims capacity and preempts the runs that use it.
 func (ps *pass) place(u unit) {
 	key, count := ps.classOf(u)
 	if least, ok := ps.unplaceable[key]; ok && count >= least {
+		u.stage.recordNoRoom(ps.now)
 		return
 	}
 	if u.stage.step.Gang {
@@ -180,6 +189,7 @@
 		}
 		if !ps.placeAllOrNone(u, u.stage.tasks) {
 			ps.unplaceable[key] = count
+			u.stage.recordNoRoom(ps.now)
 			ps.reserveForGang(u)
 		}
 		return
@@ -200,6 +210,13 @@
 	}
 }
 
+// recordNoRoom records that a pass found no room for the stage.
+func (s *stage) recordNoRoom(now time.Time) {
+	if s.noRoomSince.IsZero() {
+		s.noRoomSince = now
+	}
+}
+
 // mustDeferStart reports whether the unit has to wait for the outcome of earlier starts, so that urgent starts
 // do not queue behind thousands of others.
 func (ps *pass) mustDeferStart(u unit) bool {
@@ -220,8 +237,8 @@
 	count := 1
 	if step.Gang {
 		count = len(u.stage.tasks)
-		// A gang that fits into no rack may be spread over several; a smaller gang of the same step may not.
-		key.sameRack = step.SameRack && ps.emptyCapacity(u.stage).rack >= count
+		// A gang that may be spread over racks says nothing about one that may not, and the other way round.
+		key.sameRack = step.SameRack && !ps.maySpread(u.stage)
 	}
 	return key, count
 }
@@ -254,7 +271,7 @@
 		return ps.packAnywhere(u, tasks, preempt)
 	}
 	bestPacking := ps.bestPackingInRack(u, tasks, preempt)
-	if bestPacking == nil && (preempt && u.rank == rankGuaranteed || ps.emptyCapacity(u.stage).rack < len(tasks)) {
+	if bestPacking == nil && (preempt && u.rank == rankGuaranteed || ps.maySpread(u.stage)) {
 		bestPacking = ps.packAnywhere(u, tasks, preempt)
 	}
 	return bestPacking
@@ -280,14 +297,23 @@
 	return best
 }
 
+// maySpread reports whether a gang that should run in one rack may be spread over several: if none could run it, or
+// if it has waited for one long enough although the fleet is not busy.
+func (ps *pass) maySpread(s *stage) bool {
+	if ps.emptyCapacity(s).rack < len(s.tasks) {
+		return true
+	}
+	return !s.noRoomSince.IsZero() && ps.now.Sub(s.noRoomSince) >= gangSpreadDelay && !ps.fleetIsBusy()
+}
+
 type emptyCapacityKey struct {
 	need     Resources
 	requires string
 	service  string
 }
 
-// emptyCapacity is the number of tasks of a step that the largest rack and the whole fleet could run if they
-// were empty.
+// emptyCapacity is the number of tasks of a step that the usable workers of a rack, at most, and the whole fleet
+// could run if they were empty.
 type emptyCapacity struct{ rack, all int }
 
 func (ps *pass) emptyCapacity(of *stage) emptyCapacity {
@@ -300,18 +326,27 @@
 	for _, w := range ps.arranger.sortedWorkers {
 		if w.Service == key.service && w.has(key.requires) && !w.Draining {
 			tasksThatFit := w.Capacity.FitCount(key.need)
-			perRack[w.Rack] += tasksThatFit
 			e.all += tasksThatFit
-			e.rack = max(e.rack, perRack[w.Rack])
+			if w.candidate != nil || ps.arranger.awaits(w) {
+				perRack[w.Rack] += tasksThatFit
+				e.rack = max(e.rack, perRack[w.Rack])
+			}
 		}
 	}
 	ps.tasksThatFit[key] = e
 	return e
 }
 
+// awaits reports whether the worker has yet to report to a new owner, which learns within seconds what it can do.
+func (a *Arranger) awaits(w *worker) bool {
+	_, awaited := a.awaitedReports[w.ID]
+	return awaited
+}
+
 // commit applies a packing: it preempts the victims and starts the tasks or claims their capacity.
 func (ps *pass) commit(u unit, tasks []*task, p *packing) {
 	a := ps.arranger
+	u.stage.noRoomSince = time.Time{}
 	for _, victim := range p.victims {
 		a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
 			"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
--- a/arranger/survey_test.go
+++ b/arranger/survey_test.go
@@ -74,3 +74,61 @@
 		}
 	}
 }
+
+// A gang takes longer when it is spread, so that it is only once the fleet would stay idle otherwise.
+func TestAGangIsSpreadOnlyInAnIdleFleetAndAfterAWait(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// used holds the accelerators in use on the workers of each rack.
+		used     [][]int
+		priority int
+		wait     time.Duration
+		want     int
+	}{
+		{"idle, before the delay", [][]int{{1, 0, 0, 0}, {1, 0, 0, 0}}, 1, gangSpreadDelay - time.Millisecond, 0},
+		{"idle, after the delay", [][]int{{1, 0, 0, 0}, {1, 0, 0, 0}}, 1, gangSpreadDelay, 4},
+		{"idle, urgent, before the delay", [][]int{{1, 0, 0, 0}, {1, 0, 0, 0}}, 0, gangSpreadDelay - time.Millisecond, 0},
+		{"idle, urgent, after the delay", [][]int{{1, 0, 0, 0}, {1, 0, 0, 0}}, 0, gangSpreadDelay, 4},
+		{"busy", [][]int{{8, 8, 8, 0}, {8, 8, 8, 0}, {8, 8, 8, 0}, {8, 8, 8, 0}}, 0, 10 * gangSpreadDelay, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, len(test.used), len(test.used[0]))
+			h.occupy(test.used)
+			j := jobOf("gang", test.priority, gang(4, 8))
+			j.Organisation = "other"
+			h.AddJob(h.now, j, Progress{}, false)
+			if starts := h.planAfter(0).Starts; len(starts) != 0 {
+				t.Fatalf("%d starts in the first pass, want none", len(starts))
+			}
+			if starts := h.planAfter(test.wait).Starts; len(starts) != test.want {
+				t.Errorf("%d starts after %s, want %d", len(starts), test.wait, test.want)
+			}
+		})
+	}
+}
+
+// A new owner gets the reports one after another; racks without room now have it a moment later.
+func TestANewOwnerDoesNotSpreadAGangBeforeTheReports(t *testing.T) {
+	h := newHarness(t, 2, 3)
+	for _, rack := range []string{"r1-0", "r1-1"} {
+		id := "late-" + rack
+		h.SetWorker(Worker{
+			ID: id, Incarnation: 1, Service: "tabulator", Rack: rack, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8},
+		})
+		h.ExpectReport(id, h.now.Add(time.Minute))
+	}
+	h.AddJob(h.now, jobOf("gang", 1, gang(4, 8)), Progress{}, false)
+	if starts := h.planAfter(0).Starts; len(starts) != 0 {
+		t.Fatalf("%d starts before the reports, want none", len(starts))
+	}
+	h.HandleReport(h.now, Report{Worker: "late-r1-1", RequestedAt: h.now})
+	starts := h.planAfter(time.Second).Starts
+	if len(starts) != 4 {
+		t.Fatalf("%d starts after the report, want 4", len(starts))
+	}
+	for _, s := range starts {
+		if rack := h.workers[s.Worker].Rack; rack != "r1-1" {
+			t.Errorf("start on rack %s, want r1-1", rack)
+		}
+	}
+}
