--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -118,3 +118,14 @@
 	a.options.Log("workers excluded from planning", append(details, "accelerators", e.Accelerators, "free", e.FreeAccelerators,
 		"schedulableFree", e.SchedulableAccelerators, "pendingStarts", e.PendingStarts, "awaitedReports", e.AwaitedReports)...)
 }
+
+// pendingStarts returns the number of starts on the worker whose outcome is not known yet.
+func (w *worker) pendingStarts() int {
+	count := 0
+	for _, p := range w.places {
+		if p.state == placeStarting {
+			count++
+		}
+	}
+	return count
+}
