director: Record the workers of claims while their capacity becomes free

Cause: preempting work waited for the record of its workers only after the preempted runs had ended, which leaves the capacity idle for a write, 0.2 s and more on a slow store.

Ruled out: nothing about safety changes: a row that lists more workers than have runs only makes a successor wait for these as well.

Change: claims are listed like runs and are written when they are made; a gang whose workers are all recorded is sent at once, like a single task.

--- a/arranger/inherit_test.go
+++ b/arranger/inherit_test.go
@@ -58,3 +58,20 @@
 		t.Error("a worker whose leases have expired is still listed")
 	}
 }
+
+func TestProgressListsTheWorkersOfClaims(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.SetGuarantees(map[string]int{"unions": 8})
+	h.AddJob(h.now, jobOf("batch", 2, single(1, 8)), Progress{}, false)
+	h.confirmStarts(h.planAfter(0))
+	h.AddJob(h.now, jobOf("urgent", 0, single(1, 8)), Progress{}, false)
+	if o := h.planAfter(0); len(o.Starts) != 0 || len(o.Stops) != 1 {
+		t.Fatalf("got %d starts and %d stops, want a preemption", len(o.Starts), len(o.Stops))
+	}
+	if got := h.Progress("urgent").Workers; !slices.Equal(got, []string{"w0-0"}) {
+		t.Errorf("got workers %v, want the one with the claim", got)
+	}
+	if !slices.Contains(h.TakeDirtyJobs(), "urgent") {
+		t.Error("the claim is not to be written")
+	}
+}
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -85,13 +85,14 @@
 	return p
 }
 
-// possibleWorkers returns the IDs of the workers on which runs of the job may exist: those of its runs, and those
-// that a previous owner recorded and that have not reported yet.
+// possibleWorkers returns the IDs of the workers on which runs of the job may exist: those of its runs, those on which
+// it has claimed capacity, so that the start need not wait for the record, and those that a previous owner recorded
+// and that have not reported yet.
 func (a *Arranger) possibleWorkers(j *job) []string {
 	ids := map[string]bool{}
 	for _, s := range j.stages {
 		for _, t := range s.tasks {
-			if t.place != nil && t.place.state != placeClaimed && !t.done {
+			if t.place != nil && !t.done {
 				ids[t.place.worker.ID] = true
 			}
 		}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -394,6 +394,7 @@
 		return
 	}
 	a.claims = append(a.claims, group)
+	a.dirty[u.stage.job.ID] = true
 }
 
 // compareRacks orders racks by name.
--- a/director/orders.go
+++ b/director/orders.go
@@ -29,6 +29,10 @@
 	orders := t.arranger.TakeOrders()
 	t.recordStarts(ctx, orders.Starts)
 	t.requestAdvice(ctx, orders.AdviceRequests)
+	if len(orders.Stops) > 0 {
+		// Claims on the capacity that becomes free are to be recorded meanwhile.
+		t.writer.signal()
+	}
 	for _, order := range orders.Stops {
 		s := t.sessions[order.Worker]
 		if s == nil || t.withdrawStart(order) {
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -31,9 +31,15 @@
 	// The rows of jobs whose starts are sent at once are written as well: they have to keep the workers.
 	change := t.writer.markJobsDirty(slices.Compact(ids))
 	t.writer.signal()
+	// The members of a gang, which have one run number, are sent together.
+	unrecordedGangs := map[string]int64{}
 	for _, order := range orders {
-		// The members of a gang are sent together.
-		if !order.Gang && t.recorded[order.Task.Job].lists(order.Worker) {
+		if order.Gang && !t.recorded[order.Task.Job].lists(order.Worker) {
+			unrecordedGangs[order.Task.Job] = order.Run
+		}
+	}
+	for _, order := range orders {
+		if t.recorded[order.Task.Job].lists(order.Worker) && unrecordedGangs[order.Task.Job] != order.Run {
 			t.sendStart(ctx, order)
 			continue
 		}
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -150,3 +150,27 @@
 		})
 	}
 }
+
+func TestAGangIsSentAtOnceOnlyIfAllItsWorkersAreRecorded(t *testing.T) {
+	for _, test := range []struct {
+		recorded []string
+		unsent   int
+	}{
+		{nil, 2},
+		{[]string{"w1"}, 2},
+		{[]string{"w1", "w2"}, 0},
+	} {
+		owner := newFleetTerm(t, time.Now(), 1)
+		owner.noteWrite("job", test.recorded)
+		owner.confirmWrites([]string{"job"})
+		var orders []arranger.StartOrder
+		for i, worker := range []string{"w1", "w2"} {
+			orders = append(orders, arranger.StartOrder{Task: arranger.TaskName{Job: "job", Index: i}, Run: 7, Worker: worker, Gang: true})
+		}
+		// The sessions have had no response, so that nothing is really sent.
+		owner.recordStarts(context.Background(), orders)
+		if got := len(owner.unsent["job"]); got != test.unsent {
+			t.Errorf("recorded on %v: %d starts wait, want %d", test.recorded, got, test.unsent)
+		}
+	}
+}
