arranger: Accept suspect workers in an idle fleet

Cause: callers saw jobs with nothing running in an idle fleet after failures. A task with a failed run was kept from all workers on which any run had failed in the last 6 s, even if no other had room, and for ever from those on which it had failed itself. A gang that avoided workers marked its class as unplaceable, and a single task that did so ended the placement of its step, so that others that need not avoid anything waited as well.

Change: a unit that finds room only on workers that it avoids is tried again with them after 1 s, as long as the fleet is not busy in the sense of the reserve; tasks still avoid workers on which they have failed themselves while these are suspect. Avoidance no longer marks a class as unplaceable, and a failed task that avoids workers no longer ends the placement of its step. In a busy fleet failed tasks wait for other workers as before: there a worker that fails runs at once is often the only free one and would use up the attempts of a task.

Conclusion: failures delay a task by about a second in an idle fleet.

--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -177,12 +177,23 @@
 	return !w.conflicts(s.step) && s.mayRunOn(w, t.pass.now)
 }
 
-// avoids reports whether earlier failures keep the task from the worker.
+// avoids reports whether earlier failures keep the task from a worker that has room for it.
 func (t *trial) avoids(task *task, w *worker) bool {
+	if len(task.failedOn) == 0 && len(w.health.failedJobs) == 0 || !t.avoidsFailed(task, w) {
+		return false
+	}
+	t.pass.avoided = true
+	return true
+}
+
+// avoidsFailed is avoids for a task or a worker with failures. A unit that accepts suspects avoids only those on which
+// the task itself has failed.
+func (t *trial) avoidsFailed(task *task, w *worker) bool {
+	accepts, suspect := t.pass.acceptsSuspects, w.health.suspect(t.pass.now)
 	if task.failedOn[w.ID] && len(task.failedOn) < len(t.pass.candidates) {
-		return true
+		return suspect || !accepts
 	}
-	if !w.health.suspect(t.pass.now) {
+	if !suspect || accepts {
 		return false
 	}
 	return task.failures() > 0 || w.health.suspectFor(task.stage.job.ID, t.pass.now) && !task.stage.job.atFault()
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -81,7 +81,7 @@
 	unfinished int
 	// ready is when the preceding steps completed; zero before that.
 	ready time.Time
-	// noRoomSince is when a pass first found no room for the gang since its last placement; zero if none did.
+	// noRoomSince is when a pass first found no room for the stage since its last placement; zero if none did.
 	noRoomSince time.Time
 	// advice is the state of requests to the advice service; nil before the first request.
 	advice *advice
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -16,6 +16,10 @@
 // not busy.
 const gangSpreadDelay = 2 * time.Second
 
+// suspectDelay is how long a unit waits for workers that it need not avoid before it takes others while the fleet is
+// not busy. In a busy fleet a worker that fails runs at once is often the only free one.
+const suspectDelay = time.Second
+
 // candidate is a schedulable worker with its free capacity during a planning pass.
 type candidate struct {
 	worker *worker
@@ -90,6 +94,9 @@
 	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
 	trials int
+	// acceptsSuspects means that the unit being placed has to make do with workers that it would avoid; avoided means
+	// that it avoided one that has room for it.
+	acceptsSuspects, avoided bool
 }
 
 // unitClass groups units that need the same kind of capacity.
@@ -188,7 +195,9 @@
 			return
 		}
 		if !ps.placeAllOrNone(u, u.stage.tasks) {
-			ps.unplaceable[key] = count
+			if !ps.avoided {
+				ps.unplaceable[key] = count
+			}
 			u.stage.recordNoRoom(ps.now)
 			ps.reserveForGang(u)
 		}
@@ -202,7 +211,11 @@
 			return
 		}
 		if !ps.placeAllOrNone(u, []*task{t}) {
-			if len(t.failedOn) == 0 && u.stage.step.MaxPerWorker == 0 {
+			u.stage.recordNoRoom(ps.now)
+			if ps.avoided && t.failures() > 0 {
+				continue
+			}
+			if !ps.avoided && u.stage.step.MaxPerWorker == 0 {
 				ps.unplaceable[key] = count
 			}
 			return
@@ -217,6 +230,11 @@
 	}
 }
 
+// hasWaited reports whether passes have found no room for the stage for at least that long.
+func (s *stage) hasWaited(now time.Time, least time.Duration) bool {
+	return !s.noRoomSince.IsZero() && now.Sub(s.noRoomSince) >= least
+}
+
 // mustDeferStart reports whether the unit has to wait for the outcome of earlier starts, so that urgent starts
 // do not queue behind thousands of others.
 func (ps *pass) mustDeferStart(u unit) bool {
@@ -245,14 +263,15 @@
 
 // placeAllOrNone places all of the tasks or none of them.
 func (ps *pass) placeAllOrNone(u unit, tasks []*task) bool {
+	ps.acceptsSuspects, ps.avoided = false, false
 	if ps.exceedsReserve(u, tasks) {
 		return false
 	}
-	p := ps.bestPacking(u, tasks, false)
-	if ps.mayPreempt(u) && (p == nil || p.lostWork > 0) {
-		if withPreemption := ps.bestPacking(u, tasks, true); p == nil || (withPreemption != nil && withPreemption.lostWork < p.lostWork) {
-			p = withPreemption
-		}
+	p := ps.cheapestPacking(u, tasks)
+	if p == nil && ps.avoided && u.stage.hasWaited(ps.now, suspectDelay) && !ps.fleetIsBusy() {
+		ps.acceptsSuspects = true
+		tasks = byFailures(tasks)
+		p = ps.cheapestPacking(u, tasks)
 	}
 	if p == nil {
 		return false
@@ -261,6 +280,26 @@
 	return true
 }
 
+// byFailures returns the tasks in the order in which they have failed on most workers, since these have the least
+// choice.
+func byFailures(tasks []*task) []*task {
+	return slices.SortedStableFunc(slices.Values(tasks), func(x, y *task) int {
+		return cmp.Compare(len(y.failedOn), len(x.failedOn))
+	})
+}
+
+// cheapestPacking returns the packing that loses least work, with preemption if the unit may preempt; nil if there
+// is none.
+func (ps *pass) cheapestPacking(u unit, tasks []*task) *packing {
+	p := ps.bestPacking(u, tasks, false)
+	if ps.mayPreempt(u) && (p == nil || p.lostWork > 0) {
+		if withPreemption := ps.bestPacking(u, tasks, true); p == nil || (withPreemption != nil && withPreemption.lostWork < p.lostWork) {
+			p = withPreemption
+		}
+	}
+	return p
+}
+
 // mayPreempt reports whether the unit may preempt runs of other jobs.
 func (ps *pass) mayPreempt(u unit) bool { return u.rank <= rankUrgent }
 
@@ -303,7 +342,7 @@
 	if ps.emptyCapacity(s).rack < len(s.tasks) {
 		return true
 	}
-	return !s.noRoomSince.IsZero() && ps.now.Sub(s.noRoomSince) >= gangSpreadDelay && !ps.fleetIsBusy()
+	return s.hasWaited(ps.now, gangSpreadDelay) && !ps.fleetIsBusy()
 }
 
 type emptyCapacityKey struct {
