arranger: Keep work for a while from workers that leave starts unanswered

Cause: callers saw gangs that started again and again without any work done. After StartOutcomeUnknown the worker could get new work at once, unlike after StartRefused, and as the best fit it was chosen for each further attempt of the gang.

Ruled out: lack of other workers: 41 of the 48 in TestAGangDoesNotReturnToAWorkerThatDoesNotAnswerStarts are not part of the attempt.

Change: such a worker takes no part in planning until 3 s after the order of the start, 6 s if that happens again; starts that were ordered before the end of the backoff count as one fault, and a confirmed start ends it. If more than a quarter of all workers are in this state, none is kept from planning, since the owner or its network is at fault then.

Conclusion: the next attempt of a gang goes to other workers. Work that only such a worker can run waits up to 6 s. StartOutcomeUnknown has no time of its own, so that the backoff counts from the order. A run that only a report shows as started does not end the backoff.

--- a/arranger/report.go
+++ b/arranger/report.go
@@ -363,6 +363,7 @@
 		p.state = placeRunning
 		p.confirmedAt = now
 	}
+	p.worker.unanswered = unansweredStarts{}
 	a.markStarted(p.task.stage.job)
 }
 
@@ -380,6 +381,7 @@
 // other members of its gang, which would wait for it in vain.
 func (a *Arranger) StartOutcomeUnknown(name TaskName, run int64) {
 	if p := a.findPlace(name, run); p != nil && p.state == placeStarting {
+		p.worker.unanswered.record(p.placedAt)
 		a.stopRunOrGang(p, "start outcome unknown")
 	}
 }
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -136,7 +136,9 @@
 	lastEndNumber int64
 	// blockedUntil is when the worker may get new work again after it refused a start.
 	blockedUntil time.Time
-	health       health
+	// unanswered is the record of starts that got no answer.
+	unanswered unansweredStarts
+	health     health
 	// logSpeed is the natural logarithm of the rated speed if speedRated is set; speedSum and speedCount are used
 	// to update it.
 	speedRated bool
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -119,13 +119,14 @@
 		minSpeed: math.Inf(1),
 	}
 	a.speeds.update(now)
+	avoidsUnanswered := a.avoidsUnanswered(now)
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
 		ps.urgentUsed += ps.urgentUseOf(w)
 		ps.installed += w.Capacity.Accelerators
 		ps.countOrderedWork(w)
-		if !w.schedulable(now) {
+		if !w.schedulable(now) || avoidsUnanswered && now.Before(w.unanswered.until) {
 			continue
 		}
 		cand := &all[i]
