--- a/arranger/report.go
+++ b/arranger/report.go
@@ -364,6 +364,7 @@
 		p.state = placeRunning
 		p.confirmedAt = now
 	}
+	p.worker.unanswered = unansweredStarts{}
 	a.markStarted(p.task.stage.job)
 }
 
@@ -398,6 +399,7 @@
 	if p := a.findPlace(name, run); p != nil && p.state == placeStarting {
 		a.counts.StartsUnknown++
 		p.task.stage.wait.failedStarts++
+		p.worker.unanswered.record(p.placedAt)
 		a.stopRunOrGang(p, "start outcome unknown")
 	}
 }
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -81,7 +81,7 @@
 	unfinished int
 	// ready is when the preceding steps completed; zero before that.
 	ready time.Time
-	// noRoomSince is when a pass first found no room for the gang since its last placement; zero if none did.
+	// noRoomSince is when a pass first found no room for the stage since its last placement; zero if none did.
 	noRoomSince time.Time
 	// advice is the state of requests to the advice service; nil before the first request.
 	advice *advice
@@ -138,7 +138,9 @@
 	lastEndNumber int64
 	// blockedUntil is when the worker may get new work again after it refused a start.
 	blockedUntil time.Time
-	health       health
+	// unanswered is the record of starts that got no answer.
+	unanswered unansweredStarts
+	health     health
 	// logSpeed is the natural logarithm of the rated speed if speedRated is set; speedSum and speedCount are used
 	// to update it.
 	speedRated bool
