arranger: Count a start without an outcome as pending for 2 s

Cause: while 400 starts had no outcome, callers saw lower ranks wait beside a free fleet for 5.1 s, until the starts timed out in the arranger.

Ruled out: lack of room: 752 of 1,152 accelerators are free in TestStartsWithoutAnAnswerDoNotKeepTheFleetIdle.

Change: a start counts towards maxPendingStarts for 2 s at most, after which both tries to send it have ended. Its place is kept as before.

Conclusion: if sending falls behind by more than 2 s, further starts are ordered, so that urgent starts may queue behind more than 400 others then.

--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -12,6 +12,10 @@
 // at once delays urgent starts by thousands of others.
 const maxPendingStarts = 400
 
+// pendingStartTime is how long a start without an outcome counts as pending; after both tries to send it, it delays no
+// others.
+const pendingStartTime = 2 * time.Second
+
 // gangSpreadDelay is how long a gang waits for room in one rack before it is spread over several while the fleet is
 // not busy.
 const gangSpreadDelay = 2 * time.Second
@@ -168,14 +172,14 @@
 	r.accelerators += cand.worker.Capacity.Accelerators
 }
 
-// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims, and the starts whose
-// outcome is not known yet.
+// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims, and the pending
+// starts.
 func (ps *pass) countOrderedWork(w *worker) {
 	for _, p := range w.places {
 		if p.state != placeClaimed {
 			ps.inUse += p.task.stage.step.Need.Accelerators
 		}
-		if p.state == placeStarting {
+		if p.state == placeStarting && ps.now.Sub(p.placedAt) < pendingStartTime {
 			ps.pendingStarts++
 		}
 	}
--- a/arranger/survey_test.go
+++ b/arranger/survey_test.go
@@ -132,3 +132,21 @@
 		}
 	}
 }
+
+// A start whose outcome stays unknown must delay others neither for longer than it is being sent nor for less.
+func TestAStartCountsAsPendingWhileItIsBeingSent(t *testing.T) {
+	for _, test := range []struct {
+		wait time.Duration
+		want int
+	}{{pendingStartTime - time.Millisecond, 0}, {pendingStartTime, 1}} {
+		t.Run(test.wait.String(), func(t *testing.T) {
+			h := newHarness(t, 12, 12)
+			h.AddJob(h.now, jobOf("wide", 1, single(maxPendingStarts, 1)), Progress{}, false)
+			h.planAfter(0)
+			h.AddJob(h.now, jobOf("waiting", 1, single(1, 1)), Progress{}, false)
+			if starts := h.planAfter(test.wait).Starts; len(starts) != test.want {
+				t.Errorf("%d starts, want %d", len(starts), test.want)
+			}
+		})
+	}
+}
