director: Open the context of a session before its goroutine

Callers saw the service without an owner: a new owner's process ended with a panic as it loaded.

Cause: the function that ends a session was set by the session's own goroutine, without the lock. A worker that had restarted under its ID between two owners is opened from the record of the previous owner, under its old incarnation, and closed at once for the new one in the platform's list, under the same lock, when the goroutine has not run yet: a call of a nil function. The record keeps the old incarnation, so that each next owner can end in the same way.

Ruled out: a recover; a session without a context has no meaning.

Change: the context is made before the goroutine is started. The test replays a worker that restarts during a takeover.

On real machines it is a race, whose rate was not measured; it is a candidate for what the users saw (an owner's log that ends abruptly), not shown by their record.

--- a/director/session.go
+++ b/director/session.go
@@ -59,7 +59,9 @@
 	}
 	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
 	t.sessions[info.ID] = s
-	t.spawn(func() { s.run(t.context(s)) })
+	// The session can be closed before its goroutine runs.
+	ctx := t.context(s)
+	t.spawn(func() { s.run(ctx) })
 	t.markWorkerDirty(info.ID)
 }
 
