director: Wait for all workers if the record of a job is unreadable

Cause: since starts are recorded, a job without a readable progress row counted as never started, so that it could be started beside a run on a silent worker. Likewise a lease row that cannot be read counted as the first lease ever.

Change: the workers of such a job are unknown, and it waits for all of them as before; only a missing lease row is the first lease.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -95,7 +95,8 @@
 	}
 	if inherited {
 		j.inheritedWorkers = progress.Workers
-		if !a.options.WorkersRecorded {
+		j.workersUnknown = progress.WorkersUnknown || !a.options.WorkersRecorded
+		if j.workersUnknown {
 			a.dirty[j.ID] = true
 		}
 	}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -43,7 +43,7 @@
 	if !j.inherited || len(a.awaitedReports) == 0 {
 		return false
 	}
-	if !a.options.WorkersRecorded {
+	if j.workersUnknown {
 		return true
 	}
 	return slices.ContainsFunc(j.inheritedWorkers, func(id string) bool {
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -18,6 +18,8 @@
 	Tasks map[string]TaskProgress `json:"tasks,omitempty"`
 	// Workers are the IDs of the workers on which runs of the job may exist.
 	Workers []string `json:"workers,omitempty"`
+	// WorkersUnknown means that the record could not be read, so that runs may exist on any worker.
+	WorkersUnknown bool `json:"-"`
 }
 
 // TaskProgress is the recorded state of a task that has failed runs or a checkpoint.
--- a/director/director.go
+++ b/director/director.go
@@ -175,7 +175,7 @@
 	row, previous := state.row, state.lease
 	lease := registrar.Lease{
 		Node: d.Node, Incarnation: d.Incarnation, Epoch: previous.Epoch + 1,
-		WorkersRecorded: previous.Epoch == 0 || previous.WorkersRecorded,
+		WorkersRecorded: row.Version == 0 || previous.WorkersRecorded,
 	}
 	renewed := row
 	renewed.Value = registrar.Encode(lease)
--- a/director/load.go
+++ b/director/load.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/arranger"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 	"github.com/snipelift/snipelift/sleeper"
@@ -126,7 +127,8 @@
 	for _, row := range rows {
 		p, err := registrar.Decode[registrar.Progress](row)
 		if err != nil {
-			t.Logger.Error("progress unreadable", "job", row.Key, "error", err.Error())
+			t.Logger.Error("progress unreadable, waiting for all workers", "job", row.Key, "error", err.Error())
+			recorded[row.Key] = registrar.Progress{Progress: arranger.Progress{WorkersUnknown: true}}
 			continue
 		}
 		recorded[row.Key] = p
