director: Release the places of starts that are never sent

Callers would have seen capacity held for up to some seconds: by a start of a job that was cancelled before the start was sent, and by the members of a gang of which one could not be sent.

Cause: a withdrawn start was looked up through its job, which has no tasks once it has ended; each member of a gang was judged alone, so that the others were stopped as if they had been sent; and after the rejected row was found, batches stayed at one row until the store took it.

Change: the place is found on its worker; a gang is sent whole or withdrawn whole; the batches have their usual size once the rejected row is known and set aside.

While a row is rejected, ends of other jobs are still not acknowledged (OPERATIONS.md).

--- a/arranger/report.go
+++ b/arranger/report.go
@@ -386,10 +386,19 @@
 	return p != nil && p.state == placeStarting
 }
 
-// StartWithdrawn records that a start was never sent.
-func (a *Arranger) StartWithdrawn(name TaskName, run int64) {
-	if p := a.findPlace(name, run); p != nil && p.state != placeRunning {
-		a.releaseAndRequeue(p, "start withdrawn")
+// StartWithdrawn records that the start of a run on the worker was never sent; its job may have ended. The starts of all
+// members of a gang are withdrawn together.
+func (a *Arranger) StartWithdrawn(name TaskName, run int64, workerID string) {
+	w := a.workers[workerID]
+	if w == nil {
+		return
+	}
+	label := name.String()
+	i := slices.IndexFunc(w.places, func(p *place) bool {
+		return p.run == run && (p.state == placeStarting || p.state == placeStopping) && p.task.label() == label
+	})
+	if i >= 0 {
+		a.release(w.places[i])
 	}
 }
 
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -84,34 +84,52 @@
 // sendRecorded sends the starts whose workers the batch has recorded; the caller holds the term's mutex.
 func (t *term) sendRecorded(ctx context.Context, b batch) {
 	for _, id := range b.jobs {
+		var recorded []arranger.StartOrder
 		waiting := t.unsent[id][:0]
 		for _, start := range t.unsent[id] {
 			if start.change > b.lastChange {
 				waiting = append(waiting, start)
 				continue
 			}
-			t.sendIfWanted(ctx, start.order)
+			recorded = append(recorded, start.order)
 		}
 		if t.unsent[id] = waiting; len(waiting) == 0 {
 			delete(t.unsent, id)
 		}
+		t.sendWanted(ctx, recorded)
 	}
 }
 
-// sendIfWanted sends a start unless the decision no longer holds: the worker may have been lost or have begun to drain since.
-func (t *term) sendIfWanted(ctx context.Context, order arranger.StartOrder) {
-	w, known := t.arranger.Worker(order.Worker)
-	switch {
-	case !t.arranger.IsStarting(order.Task, order.Run):
-		t.Logger.Info("start dropped, its place is gone", "task", order.Task.String(), "run", order.Run, "worker", order.Worker)
-	case known && w.Draining:
-		t.Logger.Info("start withdrawn", "task", order.Task.String(), "run", order.Run, "worker", order.Worker, "reason", "worker drains")
-		t.arranger.StartWithdrawn(order.Task, order.Run)
-	default:
+// sendWanted sends those starts of a job whose decision still holds: a worker may have been lost or have begun to drain since. A gang is sent whole or not at all.
+func (t *term) sendWanted(ctx context.Context, orders []arranger.StartOrder) {
+	unwantedGangs := map[int64]bool{}
+	for _, order := range orders {
+		if order.Gang && !t.isWanted(order) {
+			unwantedGangs[order.Run] = true
+		}
+	}
+	for _, order := range orders {
+		if unwantedGangs[order.Run] && order.Gang || !t.isWanted(order) {
+			t.withdraw(order, "worker drains or run is stopped")
+			continue
+		}
 		t.sendStart(ctx, order)
 	}
 }
 
+// isWanted reports whether the start is still to be sent.
+func (t *term) isWanted(order arranger.StartOrder) bool {
+	w, known := t.arranger.Worker(order.Worker)
+	return known && !w.Draining && t.arranger.IsStarting(order.Task, order.Run)
+}
+
+// withdraw releases the place of a start that has not been sent.
+func (t *term) withdraw(order arranger.StartOrder, reason string) {
+	t.Logger.Info("start withdrawn", "task", order.Task.String(), "run", order.Run, "worker", order.Worker, "reason", reason)
+	t.arranger.StartWithdrawn(order.Task, order.Run, order.Worker)
+	t.requestPlan()
+}
+
 // withdrawStart discards the start of a run that is to be stopped and reports whether it had not been sent; the caller holds the term's mutex.
 func (t *term) withdrawStart(stop arranger.StopOrder) bool {
 	name, err := arranger.ParseTaskName(stop.Task)
@@ -124,8 +142,8 @@
 	if i < 0 {
 		return false
 	}
-	t.Logger.Info("start withdrawn", "task", stop.Task, "run", stop.Run, "worker", stop.Worker, "reason", stop.Reason)
+	order := starts[i].order
 	t.unsent[name.Job] = slices.Delete(starts, i, i+1)
-	t.arranger.StartWithdrawn(name, stop.Run)
+	t.withdraw(order, stop.Reason)
 	return true
 }
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 )
 
@@ -174,3 +175,68 @@
 		}
 	}
 }
+
+func TestACancelledJobFreesTheRoomOfItsUnsentStart(t *testing.T) {
+	owner, start := newUnsentTerm(t)
+	owner.arranger.CancelJob(start.Task.Job)
+	owner.dispatch(context.Background())
+	if owner.arranger.Occupied(start.Worker) {
+		t.Error("the worker is occupied by a start that is never sent")
+	}
+}
+
+func TestAGangIsWithdrawnWholeIfAMemberCannotBeSent(t *testing.T) {
+	now := time.Now()
+	owner := newFleetTerm(t, now, 1)
+	for _, s := range owner.sessions {
+		s.responded = true
+	}
+	owner.arranger.AddJob(now, arranger.Job{
+		ID: "aaaaaaaaaaaaaaaa", Accepted: now, Policy: arranger.Policy{Service: "s"},
+		Steps: []arranger.Step{{Count: 2, Gang: true, Need: arranger.Resources{Accelerators: 8}}},
+	}, arranger.Progress{}, false)
+	owner.arranger.Plan(now)
+	starts := owner.arranger.TakeOrders().Starts
+	owner.recordStarts(context.Background(), starts)
+	w, _ := owner.arranger.Worker(starts[1].Worker)
+	w.Draining = true
+	owner.arranger.SetWorker(w)
+	owner.confirmBatch(owner.nextBatch())
+	for _, start := range starts {
+		if owner.arranger.Occupied(start.Worker) {
+			t.Errorf("%s is occupied by a start that is never sent", start.Worker)
+		}
+	}
+	if stops := owner.arranger.TakeOrders().Stops; len(stops) > 0 {
+		t.Errorf("%d stops of runs that were never sent", len(stops))
+	}
+}
+
+func TestAnUnreadableProgressRowMakesTheJobWaitForAllWorkers(t *testing.T) {
+	now := time.Now()
+	base := newFleetTerm(t, now, 1)
+	owner := newTerm(base.Director, registrar.Lease{Epoch: 2, WorkersRecorded: true}, 9, base.now())
+	info := arranger.Worker{ID: "w1", Service: "s", Capacity: arranger.Resources{Accelerators: 8}}
+	owner.arranger.SetWorker(info)
+	owner.arranger.HandleReport(now, arranger.Report{Worker: "w1", RequestedAt: now})
+	owner.arranger.ExpectReport("w2", now.Add(10*time.Second))
+	const id = "aaaaaaaaaaaaaaaa"
+	recorded := owner.decodeProgress([]platform.Row{{Key: id, Value: []byte("{")}})
+	owner.arranger.AddJob(now, arranger.Job{
+		ID: id, Accepted: now, Policy: arranger.Policy{Service: "s"},
+		Steps: []arranger.Step{{Count: 1, Need: arranger.Resources{Accelerators: 1}}},
+	}, recorded[id].Progress, true)
+	owner.arranger.Plan(now)
+	if starts := len(owner.arranger.TakeOrders().Starts); starts > 0 {
+		t.Errorf("%d starts while w2 has not reported", starts)
+	}
+}
+
+func TestARejectedRowDoesNotKeepOtherRowsInBatchesOfOne(t *testing.T) {
+	owner := newFleetTerm(t, time.Now(), 1)
+	owner.writer.singleRows = true
+	owner.handleRejection(batch{puts: []platform.Row{{Key: "rejected"}}}, platform.ErrRejected)
+	if limit := owner.writer.rowLimit(); limit != maxBatchRows {
+		t.Errorf("batches of %d rows once the rejected row is known, want %d", limit, maxBatchRows)
+	}
+}
--- a/director/writer.go
+++ b/director/writer.go
@@ -212,6 +212,7 @@
 		return
 	}
 	w.rejectedAt[b.puts[0].Key] = t.now()
+	w.singleRows = false
 	t.Logger.Error("row rejected by the store, trying again later", "table", b.puts[0].Table, "key", b.puts[0].Key, "bytes", b.bytes, "error", err.Error())
 }
 
