director: Tell gangs of one job apart when their starts are sent

Cause: found in the read-through: two gangs of one job whose starts come from one plan were told apart by the run number alone, so that one could be sent while a member of it still waited for its record.

Change: a gang is known by job, occurrence, step and run; sending and withdrawing use one function for it.

Conclusion: no failure was seen from it.

--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -21,8 +21,8 @@
 	claimMargin = 1500 * time.Millisecond
 	// stopRetryInterval is the time after which a stop without effect is ordered again.
 	stopRetryInterval = time.Second
-	// startTimeout is the age at which a start without an outcome is stopped; both tries to send a start end
-	// within 2 s.
+	// startTimeout is the age at which a start without an outcome is stopped, from the decision on. Recording its
+	// worker and both tries to send it take less unless the store is unavailable.
 	startTimeout = 5 * time.Second
 	// worthlessFactor times the period from acceptance to deadline is when a job's result has lost all value to
 	// its caller.
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -31,15 +31,10 @@
 	// The rows of jobs whose starts are sent at once are written as well: they have to keep the workers.
 	change := t.writer.markJobsDirty(slices.Compact(ids))
 	t.writer.signal()
-	// The members of a gang, which have one run number, are sent together.
-	unrecordedGangs := map[string]int64{}
+	isRecorded := func(order arranger.StartOrder) bool { return t.recorded[order.Task.Job].lists(order.Worker) }
+	incomplete := gangsWithout(orders, isRecorded)
 	for _, order := range orders {
-		if order.Gang && !t.recorded[order.Task.Job].lists(order.Worker) {
-			unrecordedGangs[order.Task.Job] = order.Run
-		}
-	}
-	for _, order := range orders {
-		if t.recorded[order.Task.Job].lists(order.Worker) && unrecordedGangs[order.Task.Job] != order.Run {
+		if isRecorded(order) && !incomplete[gangOf(order)] {
 			t.sendStart(ctx, order)
 			continue
 		}
@@ -47,6 +42,31 @@
 	}
 }
 
+// gang identifies the start of a gang, whose members are sent together; it is zero for a task without a gang.
+type gang struct {
+	job              string
+	occurrence, step int
+	run              int64
+}
+
+func gangOf(order arranger.StartOrder) gang {
+	if !order.Gang {
+		return gang{}
+	}
+	return gang{job: order.Task.Job, occurrence: order.Task.Occurrence, step: order.Task.Step, run: order.Run}
+}
+
+// gangsWithout returns the gangs that have a member for which the condition does not hold.
+func gangsWithout(orders []arranger.StartOrder, condition func(arranger.StartOrder) bool) map[gang]bool {
+	gangs := map[gang]bool{}
+	for _, order := range orders {
+		if order.Gang && !condition(order) {
+			gangs[gangOf(order)] = true
+		}
+	}
+	return gangs
+}
+
 // recordedWorkers are the workers in a job's progress row: those in the store, and those in a write whose outcome is
 // not known yet.
 type recordedWorkers struct {
@@ -102,14 +122,9 @@
 
 // sendWanted sends those starts of a job whose decision still holds: a worker may have been lost or have begun to drain since. A gang is sent whole or not at all.
 func (t *term) sendWanted(ctx context.Context, orders []arranger.StartOrder) {
-	unwantedGangs := map[int64]bool{}
-	for _, order := range orders {
-		if order.Gang && !t.isWanted(order) {
-			unwantedGangs[order.Run] = true
-		}
-	}
+	unwanted := gangsWithout(orders, t.isWanted)
 	for _, order := range orders {
-		if unwantedGangs[order.Run] && order.Gang || !t.isWanted(order) {
+		if unwanted[gangOf(order)] || !t.isWanted(order) {
 			t.withdraw(order, "worker drains or run is stopped")
 			continue
 		}
