follower: Log and measure what is known of the configuration's age

Adds operation, duration, version and age to the lines about failed reads, a line each 2 s while they go on, bytes and duration to each configuration that comes into force, the number of bytes to the error of a response that breaks off, and the metrics config.version and config.ageMillis. No decision changes.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,8 @@
 	retryPause = 150 * time.Millisecond
 	// probeTimeout limits one probe of an unavailable store; a slow store responds to a read within a third of a second.
 	probeTimeout = 500 * time.Millisecond
+	// reportInterval is the time between log lines about failed reads while the store is unavailable.
+	reportInterval = 2 * time.Second
 )
 
 // Follower holds the newest configuration that this process has read; it never returns to an older version.
@@ -30,8 +32,25 @@
 
 	current          atomic.Pointer[Snapshot]
 	storeUnavailable atomic.Bool
+	// knownAt is a time at which the current configuration was the newest one; nil means never.
+	knownAt atomic.Pointer[time.Time]
+	// reportedAt is the time of the last log line about failed reads, and failures is the number of failed reads since the last successful one.
+	reportedAt time.Time
+	failures   int
 }
 
+// Age returns the time since which the current configuration may have been replaced, or false if no read has succeeded yet.
+func (f *Follower) Age() (time.Duration, bool) {
+	knownAt := f.knownAt.Load()
+	if knownAt == nil {
+		return 0, false
+	}
+	return time.Since(*knownAt), true
+}
+
+// recordKnown records that the current configuration was the newest one at a time.
+func (f *Follower) recordKnown(at time.Time) { f.knownAt.Store(&at) }
+
 // Snapshot is one version of the configuration, with its organisations indexed by API key and its queues by host.
 type Snapshot struct {
 	platform.Config
@@ -80,16 +99,20 @@
 	version := int64(-1)
 	for ctx.Err() == nil {
 		var err error
+		var operation string
+		start := time.Now()
 		switch {
 		case f.storeUnavailable.Load():
-			err = f.probe(ctx)
+			operation, err = "probe", f.probe(ctx)
 		case version < 0:
+			operation = "read"
 			version, err = f.read(ctx)
 		default:
+			operation = "feed"
 			version, err = f.follow(ctx, version)
 		}
 		if ctx.Err() == nil {
-			f.recordResult(err)
+			f.recordResult(operation, time.Since(start), err)
 		}
 		if err != nil && ctx.Err() == nil {
 			sleeper.Sleep(ctx, retryPause)
@@ -107,15 +130,18 @@
 
 // read loads the current configuration and returns the version from which to follow the feed.
 func (f *Follower) read(ctx context.Context) (int64, error) {
+	start := time.Now()
 	page, err := f.Store.Range(ctx, platform.OperatorTable, "", "", "")
 	if err != nil {
 		return -1, err
 	}
-	f.applyRows(page.Rows)
+	f.applyRows(page, start)
+	f.recordKnown(start)
 	return page.Version, nil
 }
 
 func (f *Follower) follow(ctx context.Context, version int64) (int64, error) {
+	start := time.Now()
 	page, err := f.Store.Feed(ctx, platform.OperatorTable, version, feedWait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.Logger.Info("configuration history no longer kept; reloading", "version", version)
@@ -124,24 +150,49 @@
 	if err != nil {
 		return version, err
 	}
-	f.applyRows(page.Rows)
+	f.applyRows(page, start)
+	if took := time.Since(start); len(page.Rows) == 0 && took >= feedWait {
+		// The store found no change during the whole wait.
+		start = start.Add(feedWait)
+	}
+	f.recordKnown(start)
 	return max(version, page.Version), nil
 }
 
-func (f *Follower) recordResult(err error) {
+// recordResult logs the first failed read, one in reportInterval of those that follow, and the recovery.
+func (f *Follower) recordResult(operation string, took time.Duration, err error) {
 	if err == nil {
 		if f.storeUnavailable.Swap(false) {
-			f.Logger.Info("store answers again")
+			f.Logger.Info("store answers again", "operation", operation, "failures", f.failures, f.belief())
 		}
+		f.failures = 0
 		return
 	}
+	f.failures++
 	if !f.storeUnavailable.Swap(true) {
-		f.Logger.Warn("store does not answer", "error", err.Error())
+		f.reportedAt = time.Now()
+		f.Logger.Warn("store does not answer", "operation", operation, "took", took.String(), "error", err.Error(), f.belief())
+		return
+	}
+	if time.Since(f.reportedAt) >= reportInterval {
+		f.reportedAt = time.Now()
+		f.Logger.Warn("configuration may be out of date", "operation", operation, "took", took.String(), "failures", f.failures, "error", err.Error(), f.belief())
+	}
+}
+
+// belief returns the version in force and its age as a log attribute.
+func (f *Follower) belief() slog.Attr {
+	var version int64
+	if current := f.current.Load(); current != nil {
+		version = current.Version
 	}
+	age, known := f.Age()
+	return slog.Group("config", "version", version, "age", age.Truncate(time.Millisecond).String(), "known", known)
 }
 
-func (f *Follower) applyRows(rows []platform.Row) {
-	for _, r := range rows {
+// applyRows puts the newest configuration of a page into force; the page was requested at start.
+func (f *Follower) applyRows(page platform.Page, start time.Time) {
+	for _, r := range page.Rows {
 		if r.Key != platform.ConfigKey || r.Deleted {
 			continue
 		}
@@ -156,7 +207,8 @@
 		}
 		s := newSnapshot(c)
 		f.current.Store(s)
-		f.Logger.Info("configuration in force", "version", c.Version, "row", r.Version, "queues", len(c.Queues), "organisations", len(c.Organisations))
+		f.Logger.Info("configuration in force", "version", c.Version, "row", r.Version, "queues", len(c.Queues), "organisations", len(c.Organisations),
+			"bytes", page.Bytes, "took", time.Since(start).Truncate(time.Millisecond).String())
 		if f.OnChange != nil {
 			f.OnChange(s)
 		}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -73,6 +73,7 @@
 	store := &platform.Store{Client: &http.Client{Transport: p.relay}, Address: p.Settings.StoreAddress, Timeout: storeTimeout, Observe: metrics.observeStoreRequest}
 	p.store = store
 	p.config = &follower.Follower{Store: store, Logger: p.Logger}
+	metrics.registerConfig(p.config)
 	p.accept = acceptor.New(store, p.config, p.Logger)
 	servers, err := p.listen(ctx, metrics)
 	if err != nil {
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/snipelift/snipelift/counter"
+	"github.com/snipelift/snipelift/follower"
 	"github.com/snipelift/snipelift/logger"
 )
 
@@ -29,6 +30,22 @@
 	return m
 }
 
+// registerConfig serves the version of the configuration in force, or 0, and the age of the knowledge that it is the newest one, or -1.
+func (m *metricSet) registerConfig(config *follower.Follower) {
+	_ = m.registry.Register("config.version", metrics.NewFunctionalGauge(func() int64 {
+		if current := config.Current(); current != nil {
+			return current.Version
+		}
+		return 0
+	}))
+	_ = m.registry.Register("config.ageMillis", metrics.NewFunctionalGauge(func() int64 {
+		if age, known := config.Age(); known {
+			return age.Milliseconds()
+		}
+		return -1
+	}))
+}
+
 func (m *metricSet) histogram(name string) metrics.Histogram {
 	if h, ok := m.registry.Get(name).(metrics.Histogram); ok {
 		return h
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -249,7 +249,7 @@
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	_ = response.Body.Close()
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, fmt.Errorf("read answer after %d bytes: %w", len(data), err)
 	}
 	response.Body = io.NopCloser(bytes.NewReader(data))
 	return response, nil
