follower: Probe the store with a read of constant size

Cause: after a failed read the follower probes the store before it reads on. The probe read the configuration itself within 500 ms. On a link of 10 Mbit/s, 0.6 MB arrive in that time, so from some 2,300 queues on no probe could succeed.

Ruled out: a discarded version (no such line in the logs).

Change: the probe reads a row that does not exist.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,6 +19,8 @@
 	retryPause = 150 * time.Millisecond
 	// probeTimeout limits one probe of an unavailable store; a slow store responds to a read within a third of a second.
 	probeTimeout = 500 * time.Millisecond
+	// probeKey is the key that a probe reads; the operator's table has no such row.
+	probeKey = "snipelift-probe"
 	// reportInterval is the time between log lines about failed reads while the store is unavailable.
 	reportInterval = 2 * time.Second
 )
@@ -120,11 +122,11 @@
 	}
 }
 
-// probe sends a small read to an unavailable store, so that its recovery is detected quickly.
+// probe reads a row that does not exist from an unavailable store, so that its recovery is detected quickly; the response has the same size for any configuration.
 func (f *Follower) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := f.Store.Get(ctx, platform.OperatorTable, "", platform.ConfigKey)
+	_, err := f.Store.Get(ctx, platform.OperatorTable, "", probeKey)
 	return err
 }
 
