platform: Limit stalled transfers instead of the time of a whole request

Callers were answered by entries that could not follow the configuration, because its rows arrive for longer than one request was allowed to take.

Cause: a request to the store had 1.2 s (a long poll 1.9 s) in all, however much it transfers; above that it was cut off and started anew from its first byte. The relayer cut it off even earlier, and took the store for unavailable, if no other response had been completed for 0.5 s; a peer sent nothing on before it had received the whole response.

Change: the limit applies to the begin of a response, and then to the time without a further byte (20 s in all). Bytes that arrive count as a sign of life of the store. A peer passes a response on as it arrives. A response cut at the size limit is an error of its own. This covers all reads and writes of entries at the store, a new owner's read of its state too.

The test of the follower failed before, and so does TestArrivingResponseIsNotCancelled with the relayer before (direct: by the follower's test; through a peer that buffers: "context canceled").

The fake network delivers responses as streams now, and handlers no longer see context values of their clients, which hid the buffering of the peer.

--- a/faker/roundtrip.go
+++ b/faker/roundtrip.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -67,26 +66,135 @@
 		<-r.Context().Done()
 		return nil, fmt.Errorf("%w: %s to %s: %w", ErrUnreachable, caller, r.URL.Host, r.Context().Err())
 	}
-	done := make(chan *http.Response, 1)
-	go func() {
-		w := httptest.NewRecorder()
-		h.ServeHTTP(w, r)
-		done <- w.Result()
-	}()
+	w := newStream()
+	go w.serve(h, r)
 	select {
-	case response := <-done:
-		if r.Context().Err() != nil {
-			return nil, r.Context().Err()
-		}
-		if rate > 0 {
-			response.Body = &limitedBody{ReadCloser: response.Body, ctx: r.Context(), rate: rate}
-		}
-		return response, nil
+	case <-w.started:
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	}
+	if r.Context().Err() != nil {
+		return nil, r.Context().Err()
+	}
+	if errors.Is(w.failure(), errAborted) {
+		return nil, errAborted
+	}
+	response := &http.Response{StatusCode: w.status, Status: http.StatusText(w.status), Header: w.sent, Body: &streamBody{w, r.Context()}, ContentLength: -1, Request: r}
+	if rate > 0 {
+		response.Body = &limitedBody{ReadCloser: response.Body, ctx: r.Context(), rate: rate}
+	}
+	return response, nil
+}
+
+// errAborted means that a handler aborted the connection.
+var errAborted = errors.New("connection aborted")
+
+// stream is a response writer whose response can be read while the handler still writes it.
+type stream struct {
+	// started is closed when the header has been sent.
+	started chan struct{}
+	header  http.Header
+	// sent is the header as of its sending.
+	sent   http.Header
+	status int
+
+	mu sync.Mutex
+	// data holds the bytes that have not been read, and err the end of the response; changed is closed and replaced at each change.
+	data    []byte
+	err     error
+	changed chan struct{}
+}
+
+func newStream() *stream {
+	return &stream{started: make(chan struct{}), header: http.Header{}, changed: make(chan struct{})}
+}
+
+// serve runs the handler; like net/http, it recovers from http.ErrAbortHandler, and the handler sees no values of the client's context.
+func (s *stream) serve(h http.Handler, r *http.Request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer context.AfterFunc(r.Context(), cancel)()
+	r = r.WithContext(ctx)
+	end := io.EOF
+	defer func() {
+		if p := recover(); p == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself.
+			end = errAborted
+		} else if p != nil {
+			panic(p)
+		}
+		s.append(nil, end)
+		s.WriteHeader(http.StatusOK)
+	}()
+	h.ServeHTTP(s, r)
 }
 
+// Header implements http.ResponseWriter.
+func (s *stream) Header() http.Header { return s.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (s *stream) WriteHeader(status int) {
+	if s.status == 0 {
+		s.status, s.sent = status, s.header.Clone()
+		close(s.started)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (s *stream) Write(b []byte) (int, error) {
+	s.WriteHeader(http.StatusOK)
+	s.append(b, nil)
+	return len(b), nil
+}
+
+func (s *stream) append(b []byte, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.data, s.err = append(s.data, b...), err
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+// take moves bytes that have not been read into b, and otherwise returns the channel that is closed at the next change, or the end of the response.
+func (s *stream) take(b []byte) (int, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := copy(b, s.data)
+	s.data = s.data[n:]
+	if n > 0 {
+		return n, nil, nil
+	}
+	return 0, s.changed, s.err
+}
+
+type streamBody struct {
+	stream *stream
+	ctx    context.Context //nolint:containedctx // It is that of the request, as in net/http.
+}
+
+// Read implements io.Reader.
+func (s *streamBody) Read(b []byte) (int, error) {
+	for {
+		n, changed, err := s.stream.take(b)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+			return 0, s.ctx.Err()
+		}
+	}
+}
+
+// Close implements io.Closer.
+func (s *streamBody) Close() error { return nil }
+
 // limitedBody is a response body that arrives at a limited rate, until the context of its request ends.
 type limitedBody struct {
 	io.ReadCloser
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,7 +25,7 @@
 	probeInterval = 400 * time.Millisecond
 	// responsiveWindow is how long after a direct response the store counts as slow rather than unresponsive; at 60 times its normal latency a read takes 0.25 s, and a read is always in progress.
 	responsiveWindow = 500 * time.Millisecond
-	// maxBodyBytes limits the body of one request and of one response; a page of the store has 1 MB before encoding.
+	// maxBodyBytes limits the body of one request; a transaction has 1 MB before encoding.
 	maxBodyBytes = 4 << 20
 )
 
@@ -45,7 +45,7 @@
 
 	mu       sync.Mutex
 	selector selector
-	// lastResponse is when the store last served a direct request.
+	// lastResponse is when bytes of a response to a direct request last arrived from the store.
 	lastResponse time.Time
 	probes       sync.WaitGroup
 	// probeContext ends with the process.
@@ -172,7 +172,7 @@
 	r.mu.Lock()
 	_, hasPeer := r.selector.choose(r.now(), 0)
 	r.mu.Unlock()
-	if deadline, ok := ctx.Deadline(); ok && hasPeer {
+	if deadline, ok := platform.TransferDeadline(ctx); ok && hasPeer {
 		left := time.Until(deadline)
 		limited, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -180,7 +180,14 @@
 		defer stop()
 		ctx = limited
 	}
-	return send(ctx, r.Direct, request, request.URL.Host, body)
+	return send(ctx, r.Direct, request, request.URL.Host, body, r.recordProgress)
+}
+
+// recordProgress records that bytes of a response of the store arrive, which other requests may have to wait for.
+func (r *Relayer) recordProgress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastResponse = r.now()
 }
 
 // cancelIfUnresponsive cancels a request after the given time if the store has not responded to other requests recently either; a slow store would be as slow for a peer.
@@ -219,7 +226,7 @@
 	if !ok {
 		return nil, errNoPeer
 	}
-	response, err := send(request.Context(), r.Direct, request, peer, body)
+	response, err := send(request.Context(), r.Direct, request, peer, body, nil)
 	served := err == nil && !rejected(response)
 	r.count(countSent)
 	if !served {
@@ -231,8 +238,27 @@
 	return response, err
 }
 
-// send sends one request to a host and reads the whole response.
-func send(ctx context.Context, transport http.RoundTripper, request *http.Request, host string, body []byte) (*http.Response, error) {
+// send sends one request to a host and reads the whole response; onProgress is called with each read, and may be nil.
+func send(ctx context.Context, transport http.RoundTripper, request *http.Request, host string, body []byte, onProgress func()) (*http.Response, error) {
+	response, err := open(ctx, transport, request, host, body)
+	if err != nil {
+		return nil, err
+	}
+	reader := io.Reader(response.Body)
+	if onProgress != nil {
+		reader = &observedReader{response.Body, onProgress}
+	}
+	data, err := platform.ReadResponse(ctx, reader)
+	_ = response.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	response.Body = io.NopCloser(bytes.NewReader(data))
+	return response, nil
+}
+
+// open sends one request to a host and returns the response while its body may still be arriving.
+func open(ctx context.Context, transport http.RoundTripper, request *http.Request, host string, body []byte) (*http.Response, error) {
 	outgoing := request.Clone(ctx)
 	outgoing.URL.Host = host
 	outgoing.Host = ""
@@ -240,19 +266,24 @@
 	outgoing.Body = http.NoBody
 	outgoing.ContentLength = int64(len(body))
 	if len(body) > 0 {
-		outgoing.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	response, err := transport.RoundTrip(outgoing)
-	if err != nil {
-		return nil, err
+		outgoing.Body = io.NopCloser(platform.ProgressReader(ctx, bytes.NewReader(body)))
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
-	_ = response.Body.Close()
-	if err != nil {
-		return nil, fmt.Errorf("read answer after %d bytes: %w", len(data), err)
+	return transport.RoundTrip(outgoing)
+}
+
+// observedReader calls onRead after each read of at least one byte.
+type observedReader struct {
+	reader io.Reader
+	onRead func()
+}
+
+// Read implements io.Reader.
+func (o *observedReader) Read(b []byte) (int, error) {
+	n, err := o.reader.Read(b)
+	if n > 0 {
+		o.onRead()
 	}
-	response.Body = io.NopCloser(bytes.NewReader(data))
-	return response, nil
+	return n, err
 }
 
 // recordDirect records the result of a direct request and starts probing when the store becomes unavailable.
@@ -310,7 +341,7 @@
 	}
 	request.URL.Scheme = "http"
 	r.count(countServed)
-	response, err := send(request.Context(), r.Direct, request, r.Store, body)
+	response, err := open(request.Context(), r.Direct, request, r.Store, body)
 	switch {
 	case err == nil:
 	case platform.NotSent(err):
@@ -323,6 +354,9 @@
 	defer func() { _ = response.Body.Close() }()
 	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
 	w.WriteHeader(response.StatusCode)
-	// If the peer has disconnected, there is nobody to report the error to.
-	_, _ = io.Copy(w, response.Body)
+	// The body is passed on as it arrives, so that the peer can tell a slow transfer from none.
+	if _, err := io.Copy(w, response.Body); err != nil {
+		r.Logger.Info("response to a peer is incomplete", "path", request.URL.Path, "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -14,6 +14,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/snipelift/snipelift/faker"
+	"github.com/snipelift/snipelift/platform"
 )
 
 const storeAddress = "store:1"
@@ -153,6 +156,41 @@
 	})
 }
 
+// An answer that took longer to arrive than a direct request is given was cancelled, and the store counted as unavailable.
+func TestArrivingResponseIsNotCancelled(t *testing.T) {
+	for _, storeUnavailable := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const body = 3 << 20
+			network := faker.NewHTTPNetwork()
+			network.SetRate("entry", 1<<20)
+			network.SetRate("peer", 1<<20)
+			network.Handle(storeAddress, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, body)) }))
+			peer := &Relayer{Store: storeAddress, Direct: network.Client("peer").Transport, Logger: slog.New(slog.DiscardHandler)}
+			network.Handle("peer:1", peer)
+			r := &Relayer{Store: storeAddress, Direct: network.Client("entry").Transport, Logger: slog.New(slog.DiscardHandler)}
+			r.SetPeers([]string{"peer:1"})
+			r.selector.storeUnavailable = storeUnavailable
+			ctx, cancel := platform.WithTransferLimit(t.Context(), 1200*time.Millisecond, 1200*time.Millisecond)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+storeAddress+"/rows-feed", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := r.RoundTrip(request)
+			if err != nil {
+				t.Fatalf("through a peer %v: %v", storeUnavailable, err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			if data, err := io.ReadAll(response.Body); err != nil || len(data) != body {
+				t.Errorf("through a peer %v: got %d bytes, %v, want %d", storeUnavailable, len(data), err, body)
+			}
+			if r.StoreUnavailable() != storeUnavailable {
+				t.Error("the belief about the store changed")
+			}
+		})
+	}
+}
+
 func TestWriteWithUnknownOutcomeAtPeerIsNotRetried(t *testing.T) {
 	sent := 0
 	r := newRelayer(fakeTransport{
