follower: Read the newest configuration if the feed breaks off

The feed returns each change since a version, so an entry that missed several large configurations has to receive them all; if the response exceeds the size limit, or breaks off for another reason, the same request follows. A read of the rows holds the newest version only.

TestFollowerReadsOnlyTheNewestVersionAfterFeedBreaksOff failed before (version 1, want 2).

--- a/faker/roundtrip.go
+++ b/faker/roundtrip.go
@@ -76,7 +76,7 @@
 	if r.Context().Err() != nil {
 		return nil, r.Context().Err()
 	}
-	if errors.Is(w.failure(), errAborted) {
+	if w.status == 0 {
 		return nil, errAborted
 	}
 	response := &http.Response{StatusCode: w.status, Status: http.StatusText(w.status), Header: w.sent, Body: &streamBody{w, r.Context()}, ContentLength: -1, Request: r}
@@ -95,7 +95,8 @@
 	started chan struct{}
 	header  http.Header
 	// sent is the header as of its sending.
-	sent   http.Header
+	sent http.Header
+	// status is 0 if the handler aborted the connection before the header.
 	status int
 
 	mu sync.Mutex
@@ -123,7 +124,12 @@
 			panic(p)
 		}
 		s.append(nil, end)
-		s.WriteHeader(http.StatusOK)
+		switch {
+		case end == io.EOF: //nolint:errorlint // It is assigned above.
+			s.WriteHeader(http.StatusOK)
+		case s.status == 0:
+			close(s.started)
+		}
 	}()
 	h.ServeHTTP(s, r)
 }
@@ -154,12 +160,6 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *stream) failure() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.err
-}
-
 // take moves bytes that have not been read into b, and otherwise returns the channel that is closed at the next change, or the end of the response.
 func (s *stream) take(b []byte) (int, <-chan struct{}, error) {
 	s.mu.Lock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -149,6 +149,10 @@
 		f.Logger.Info("configuration history no longer kept; reloading", "version", version)
 		return -1, nil
 	}
+	if errors.Is(err, platform.ErrIncomplete) {
+		// The feed may hold several versions of the configuration; a read holds only the newest.
+		return -1, err
+	}
 	if err != nil {
 		return version, err
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -104,3 +104,26 @@
 		})
 	}
 }
+
+// A feed that had to deliver several large versions broke off at each attempt, and was repeated from the same version.
+func TestFollowerReadsOnlyTheNewestVersionAfterFeedBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.publish(1, 1)
+		go w.follower.Run(t.Context())
+		time.Sleep(time.Second)
+		w.expectVersion(t, "at the start", 1)
+		w.network.Handle(storeAddress, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/rows-feed" {
+				_, _ = rw.Write([]byte(`{"rows":[`))
+				panic(http.ErrAbortHandler)
+			}
+			w.rows.ServeHTTP(rw, r)
+		}))
+		// The poll in progress still has an answer of the store.
+		time.Sleep(feedWait)
+		w.publish(2, 1)
+		time.Sleep(applyLimit)
+		w.expectVersion(t, "after a feed that breaks off", 2)
+	})
+}
