acceptor: Decide no request by an outdated configuration

Change: the follower knows since when its configuration may have been replaced. Above the time within which a change has to be in force, an entry is not ready and rejects nothing by it (503 with Retry-After instead of 401 and 404); above that and the additional time that a disrupted store gives, it accepts nothing by it either. While the store responds, such a request waits up to 0.5 s for a newer state; the feed answers at once then instead of waiting for a change, so that a VM that was paused needs one round trip.

Ruled out: to refuse everything above the shorter time. With the configuration alone unreadable (one partition of the store away) that would refuse work that can be served, and nothing suggests that the operator can change it meanwhile.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -28,6 +28,8 @@
 	submitTimeout = 1300 * time.Millisecond
 	// storeUnreachableAfter is the time without a response after which the store counts as unreachable; the configuration is requested more often, so that a process without clients does not reach it.
 	storeUnreachableAfter = 1400 * time.Millisecond
+	// refreshTimeout limits the time that a request waits for a newer state of the configuration, as after a pause of the process.
+	refreshTimeout = 500 * time.Millisecond
 	// storeRetryAfter is the retry delay sent to a client when the store is unreachable; another entry VM may reach the store.
 	storeRetryAfter = time.Second
 	// defaultMaxBody is the body size limit in bytes if the configuration sets none.
@@ -41,6 +43,10 @@
 	Logger *slog.Logger
 	// Now returns the current time; New sets it to time.Now.
 	Now func() time.Time
+	// ConfigDeadline is the age of the configuration above which no request is rejected by it; 0 means no limit.
+	ConfigDeadline time.Duration
+	// ConfigStretch is the additional time in which requests are still accepted by it.
+	ConfigStretch time.Duration
 	// Draining makes each response close its connection.
 	Draining atomic.Bool
 
@@ -61,19 +67,24 @@
 	if a.Draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	snapshot := a.Config.Current()
-	if snapshot == nil {
+	if a.Config.Current() == nil {
 		a.refuse(w, r, "", http.StatusServiceUnavailable, "no configuration yet", storeRetryAfter)
 		return
 	}
-	queue, ok := snapshot.Queue(hostname(r.Host), r.URL.Path)
-	if !ok {
-		a.refuse(w, r, "", http.StatusNotFound, "no such queue", 0)
+	if !a.confirmed(r, a.ConfigDeadline+a.ConfigStretch) {
+		a.refuseUnconfirmed(w, r)
 		return
 	}
-	organisation, known := snapshot.Organisation(platform.APIKey(r))
-	if !known && !queue.Public {
-		a.refuse(w, r, "", http.StatusUnauthorized, "unknown key", 0)
+	target := a.route(r)
+	if target.status != 0 && !a.confirmed(r, a.ConfigDeadline) {
+		a.refuseUnconfirmed(w, r)
+		return
+	}
+	if target.snapshot != a.Config.Current() {
+		target = a.route(r)
+	}
+	if target.status != 0 {
+		a.refuse(w, r, "", target.status, target.reason, 0)
 		return
 	}
 	if sinceResponse := a.Store.SinceLastResponse(); sinceResponse > storeUnreachableAfter {
@@ -82,8 +93,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout(r)-responseMargin)
 	defer cancel()
-	c := call{w: w, r: r.WithContext(ctx), snapshot: snapshot, queue: queue, organisation: organisation}
-	path := strings.TrimPrefix(r.URL.Path, queue.Prefix)
+	c := call{w: w, r: r.WithContext(ctx), snapshot: target.snapshot, queue: target.queue, organisation: target.organisation}
+	path := strings.TrimPrefix(r.URL.Path, c.queue.Prefix)
 	if path == "" && r.Method == http.MethodGet {
 		a.servePending(c)
 		return
@@ -106,6 +117,51 @@
 	}
 }
 
+// target is what a configuration says of a request: its queue and organisation, or the status and reason of its rejection.
+type target struct {
+	snapshot     *follower.Snapshot
+	queue        platform.Queue
+	organisation string
+	status       int
+	reason       string
+}
+
+// route looks up a request in the current configuration.
+func (a *Acceptor) route(r *http.Request) target {
+	t := target{snapshot: a.Config.Current()}
+	var found bool
+	if t.queue, found = t.snapshot.Queue(hostname(r.Host), r.URL.Path); !found {
+		t.status, t.reason = http.StatusNotFound, "no such queue"
+		return t
+	}
+	if t.organisation, found = t.snapshot.Organisation(platform.APIKey(r)); !found && !t.queue.Public {
+		t.status, t.reason = http.StatusUnauthorized, "unknown key"
+	}
+	return t
+}
+
+// confirmed reports whether the configuration is known to have been the newest one within maxAge; while the store responds, it waits for that.
+func (a *Acceptor) confirmed(r *http.Request, maxAge time.Duration) bool {
+	if a.ConfigDeadline == 0 {
+		return true
+	}
+	if age, known := a.Config.Age(); known && age <= maxAge {
+		return true
+	}
+	if a.Store.SinceLastResponse() > storeUnreachableAfter {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(refreshTimeout, clientTimeout(r)-responseMargin))
+	defer cancel()
+	return a.Config.Await(ctx, maxAge)
+}
+
+// refuseUnconfirmed refuses a request because a newer configuration may allow or forbid it.
+func (a *Acceptor) refuseUnconfirmed(w http.ResponseWriter, r *http.Request) {
+	age, _ := a.Config.Age()
+	a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: configuration not confirmed for "+age.Truncate(time.Millisecond).String(), storeRetryAfter)
+}
+
 // call is a request to a known queue, with a valid API key unless the queue is public.
 type call struct {
 	w            http.ResponseWriter
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,24 +34,53 @@
 
 	current          atomic.Pointer[Snapshot]
 	storeUnavailable atomic.Bool
-	// knownAt is a time at which the current configuration was the newest one; nil means never.
-	knownAt atomic.Pointer[time.Time]
+	known            atomic.Pointer[knowledge]
 	// reportedAt is the time of the last log line about failed reads, and failures is the number of failed reads since the last successful one.
 	reportedAt time.Time
 	failures   int
 }
 
+// knowledge is the result of a successful read.
+type knowledge struct {
+	// at is a time at which the current configuration was the newest one.
+	at time.Time
+	// replaced is closed by the next successful read.
+	replaced chan struct{}
+}
+
 // Age returns the time since which the current configuration may have been replaced, or false if no read has succeeded yet.
 func (f *Follower) Age() (time.Duration, bool) {
-	knownAt := f.knownAt.Load()
-	if knownAt == nil {
+	known := f.known.Load()
+	if known == nil {
 		return 0, false
 	}
-	return time.Since(*knownAt), true
+	return time.Since(known.at), true
+}
+
+// Await waits until the current configuration is known to have been the newest one within maxAge, and reports whether it is.
+func (f *Follower) Await(ctx context.Context, maxAge time.Duration) bool {
+	for {
+		known := f.known.Load()
+		if known == nil {
+			return false
+		}
+		if time.Since(known.at) <= maxAge {
+			return true
+		}
+		select {
+		case <-known.replaced:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // recordKnown records that the current configuration was the newest one at a time.
-func (f *Follower) recordKnown(at time.Time) { f.knownAt.Store(&at) }
+func (f *Follower) recordKnown(at time.Time) {
+	if previous := f.known.Swap(&knowledge{at: at, replaced: make(chan struct{})}); previous != nil {
+		close(previous.replaced)
+	}
+}
 
 // Snapshot is one version of the configuration, with its organisations indexed by API key and its queues by host.
 type Snapshot struct {
@@ -143,8 +172,13 @@
 }
 
 func (f *Follower) follow(ctx context.Context, version int64) (int64, error) {
+	wait := feedWait
+	if age, _ := f.Age(); age > 2*feedWait {
+		// After a pause of the process or of the store, requests may wait for the response.
+		wait = 0
+	}
 	start := time.Now()
-	page, err := f.Store.Feed(ctx, platform.OperatorTable, version, feedWait)
+	page, err := f.Store.Feed(ctx, platform.OperatorTable, version, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.Logger.Info("configuration history no longer kept; reloading", "version", version)
 		return -1, nil
@@ -157,9 +191,9 @@
 		return version, err
 	}
 	f.applyRows(page, start)
-	if took := time.Since(start); len(page.Rows) == 0 && took >= feedWait {
+	if len(page.Rows) == 0 && time.Since(start) >= wait {
 		// The store found no change during the whole wait.
-		start = start.Add(feedWait)
+		start = start.Add(wait)
 	}
 	f.recordKnown(start)
 	return max(version, page.Version), nil
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -75,6 +75,7 @@
 	p.config = &follower.Follower{Store: store, Logger: p.Logger}
 	metrics.registerConfig(p.config)
 	p.accept = acceptor.New(store, p.config, p.Logger)
+	p.accept.ConfigDeadline, p.accept.ConfigStretch = p.Settings.Bounds.ConfigDeadline, p.Settings.Bounds.ConfigStretch
 	servers, err := p.listen(ctx, metrics)
 	if err != nil {
 		return err
@@ -159,13 +160,20 @@
 
 // serveReadiness responds to the platform's readiness probe: with 503 the load balancer sends new connections to other VMs.
 func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if p.draining.Load() || p.config.Current() == nil || p.store.SinceLastResponse() > maxStoreSilence {
+	if p.draining.Load() || p.configOutdated() || p.store.SinceLastResponse() > maxStoreSilence {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// configOutdated reports whether clients are better served by a VM with a newer configuration.
+func (p *Process) configOutdated() bool {
+	age, known := p.config.Age()
+	limit := p.Settings.Bounds.ConfigDeadline
+	return !known || p.config.Current() == nil || (limit > 0 && age > limit)
+}
+
 // drain reports that the process is not ready, keeps serving, and shuts the servers down before the grace period ends.
 func (p *Process) drain(servers []*http.Server) {
 	grace := p.Settings.Bounds.GracePeriod
