arranger: Log which runs are lost with a restarted worker

A restart of a worker now has a method of its own in the arranger, which tells it from an expired lease; no decision changes.

--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -41,6 +41,8 @@
 	ClaimsTimedOut int64
 	// Quarantines counts the quarantines of workers.
 	Quarantines int64
+	// WorkersRestarted counts the restarts of workers that lost runs.
+	WorkersRestarted int64
 }
 
 // Waits returns the stages that had nothing running at the latest search.
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -10,7 +10,7 @@
 func (a *Arranger) SetWorker(info Worker) {
 	w := a.workers[info.ID]
 	if w != nil && w.Incarnation != info.Incarnation && info.Incarnation != 0 && w.Incarnation != 0 {
-		a.RemoveWorker(info.ID, "worker restarted")
+		a.WorkerRestarted(info.ID, "worker restarted")
 		w = nil
 	}
 	if w == nil {
--- a/director/orders.go
+++ b/director/orders.go
@@ -116,7 +116,7 @@
 	case errors.Is(err, platform.ErrFenced):
 		t.cancel()
 	case errors.Is(err, platform.ErrInstanceMismatch):
-		t.closeSession(s, "another incarnation at its address")
+		t.closeSession(s, "another incarnation at its address", t.arranger.WorkerRestarted)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		t.arranger.StartOutcomeUnknown(order.Task, order.Run)
 	case errors.Is(err, platform.ErrInvalidTicket):
--- a/director/planwatch.go
+++ b/director/planwatch.go
@@ -96,6 +96,7 @@
 		{"owner.starts.timedOut", counts.StartsTimedOut},
 		{"owner.claims.timedOut", counts.ClaimsTimedOut},
 		{"owner.quarantines", counts.Quarantines},
+		{"owner.workers.restarted", counts.WorkersRestarted},
 	} {
 		d.SetGauge(gauge.name, gauge.value)
 	}
--- a/director/session.go
+++ b/director/session.go
@@ -55,7 +55,7 @@
 		if s.worker.Incarnation == info.Incarnation || info.Incarnation == 0 || s.worker.Incarnation == 0 {
 			return
 		}
-		t.closeSession(s, "worker restarted")
+		t.closeSession(s, "worker restarted", t.arranger.WorkerRestarted)
 	}
 	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
 	t.sessions[info.ID] = s
@@ -72,13 +72,13 @@
 	return ctx
 }
 
-// closeSession ends the session with an incarnation of a worker on which nothing runs any more; the caller holds the term's mutex.
-func (t *term) closeSession(s *session, reason string) {
+// closeSession ends the session with an incarnation of a worker on which nothing runs any more, and removes the worker from the arranger by the given method; the caller holds the term's mutex.
+func (t *term) closeSession(s *session, reason string, remove func(id, reason string)) {
 	if t.sessions[s.worker.ID] != s {
 		return
 	}
 	delete(t.sessions, s.worker.ID)
-	t.arranger.RemoveWorker(s.worker.ID, reason)
+	remove(s.worker.ID, reason)
 	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Incarnation, "reason", reason)
 	s.cancel()
 	t.markWorkerDirty(s.worker.ID)
@@ -157,7 +157,7 @@
 		return false
 	}
 	if s.worker.Incarnation != 0 && received.Incarnation != 0 && received.Incarnation != s.worker.Incarnation {
-		t.closeSession(s, "another incarnation responded")
+		t.closeSession(s, "another incarnation responded", t.arranger.WorkerRestarted)
 		return false
 	}
 	if _, known := t.arranger.Worker(s.worker.ID); !known {
@@ -254,9 +254,9 @@
 		t.Logger.Warn("request rejected by a worker that has seen a later epoch", "worker", s.worker.ID, "epoch", t.lease.Epoch)
 		t.cancel()
 	case errors.Is(err, platform.ErrInstanceMismatch):
-		t.closeSession(s, "another incarnation at its address")
+		t.closeSession(s, "another incarnation at its address", t.arranger.WorkerRestarted)
 	case s.leaseExpired():
-		t.closeSession(s, "its leases have expired")
+		t.closeSession(s, "its leases have expired", t.arranger.RemoveWorker)
 	default:
 		if s.failures == 1 {
 			t.Logger.Warn("worker does not respond", "worker", s.worker.ID, "error", err.Error())
