--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -16,6 +16,8 @@
 type TaskFleet struct {
 	// Advisor issues the tickets that starts need; nil means that no ticket is needed.
 	Advisor *Advisor
+	// OnReturn is called when a crashed worker is back as a new incarnation; it may be nil.
+	OnReturn func(w *TaskWorker)
 
 	mu      sync.Mutex
 	workers map[string]*TaskWorker
@@ -28,6 +30,8 @@
 	starts     map[string]int
 	// failed are the failed runs of each task; those of a gang count for its first task.
 	failed map[string]int
+	// crashes are the workers that each task has crashed, startsAfter its starts after crashBudget of them.
+	crashes, startsAfter map[string]int
 	// running are the workers on which each task runs, gangs the runs with the same job and number.
 	running map[string]map[*TaskWorker]bool
 	gangs   map[gangRun]map[*taskRun]*TaskWorker
@@ -55,13 +59,22 @@
 	Checkpoint string
 	// FailRuns is the number of runs of each task, or of a gang, that fail before one succeeds.
 	FailRuns int
+	// CrashAfter is the time after its start at which each run crashes its worker; 0 means never.
+	CrashAfter time.Duration
 }
 
+const (
+	// crashedTime is how long a crashed worker is away.
+	crashedTime = 3 * time.Second
+	// crashBudget is the number of workers that a task may crash before its starts are counted, and extraStarts the number of these that violates an invariant.
+	crashBudget, extraStarts = 3, 3
+)
+
 // NewTaskFleet returns a fleet without workers.
 func NewTaskFleet() *TaskFleet {
 	return &TaskFleet{
 		workers: map[string]*TaskWorker{}, jobs: map[string]TaskJob{}, done: map[string]bool{}, doneTasks: map[string]int{}, started: map[string]time.Time{},
-		starts: map[string]int{}, failed: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
+		starts: map[string]int{}, failed: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
 	}
 }
 
@@ -127,6 +140,8 @@
 	lastEndNumber int64
 	silent        bool
 	failing       bool
+	// crashed means that the worker is away and resets its connections.
+	crashed bool
 	// stalledAt is the time since which the runs make no progress; it is zero if they do.
 	stalledAt   time.Time
 	lostReplies int
@@ -147,7 +162,9 @@
 }
 
 // Restart begins a new incarnation of the worker, which has none of the earlier state.
-func (w *TaskWorker) Restart() {
+func (w *TaskWorker) Restart() { w.restart(false) }
+
+func (w *TaskWorker) restart(crashed bool) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	w.startedAt = time.Now()
@@ -158,9 +175,34 @@
 		w.fleet.breakGang(run)
 	}
 	w.runs, w.lastRun = map[string]*taskRun{}, map[string]int64{}
+	w.crashed = crashed
 	w.notify()
 }
 
+// Crash ends the worker; a new incarnation is back after crashedTime.
+func (w *TaskWorker) Crash() {
+	w.restart(true)
+	time.AfterFunc(crashedTime, func() {
+		w.Restart()
+		if w.fleet.OnReturn != nil {
+			w.fleet.OnReturn(w)
+		}
+	})
+}
+
+// crashBy crashes the worker if the run is still there.
+func (w *TaskWorker) crashBy(run *taskRun) {
+	w.fleet.mu.Lock()
+	there := w.runs[run.name] == run
+	if there {
+		w.fleet.crashes[run.name]++
+	}
+	w.fleet.mu.Unlock()
+	if there {
+		w.Crash()
+	}
+}
+
 // notify wakes the polls that wait for a change of the runs; the caller holds the fleet's lock.
 func (w *TaskWorker) notify() {
 	if w.changed != nil {
@@ -216,8 +258,11 @@
 // ServeHTTP implements http.Handler.
 func (w *TaskWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	w.fleet.mu.Lock()
-	silent := w.silent
+	silent, crashed := w.silent, w.crashed
 	w.fleet.mu.Unlock()
+	if crashed {
+		panic(http.ErrAbortHandler)
+	}
 	if silent {
 		awaitDisconnect(r)
 		return
@@ -348,12 +393,20 @@
 	w.fleet.gangs[run.gang()][run] = w
 	w.notify()
 	w.fleet.assemble(run.gang())
+	if after := w.fleet.jobs[job].CrashAfter; after > 0 {
+		time.AfterFunc(after, func() { w.crashBy(run) })
+	}
 	return http.StatusOK, ""
 }
 
 // checkStart counts a start and records the invariants that it violates.
 func (f *TaskFleet) checkStart(w *TaskWorker, task, job string) {
 	f.starts[job]++
+	if f.crashes[task] >= crashBudget {
+		if f.startsAfter[task]++; f.startsAfter[task] == extraStarts {
+			f.violations = append(f.violations, fmt.Sprintf("%s started %d times more after it had crashed %d workers", task, extraStarts, crashBudget))
+		}
+	}
 	if f.done[task] {
 		f.violations = append(f.violations, fmt.Sprintf("%s started on %s after it was done", task, w.ID))
 	}
@@ -539,6 +592,10 @@
 	until := time.Now().Add(time.Duration(request.WaitMs) * time.Millisecond)
 	for {
 		w.fleet.mu.Lock()
+		if w.crashed {
+			w.fleet.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		w.endDueRuns()
 		if !w.admit(rw, request) {
 			w.fleet.mu.Unlock()
