arranger: Give up tasks under which workers crash

Cause: a run that is lost with its worker was requeued and nothing was kept of it, by this owner or for the next one. Class: a retry without a budget, and a cause that nobody is blamed for.

Ruled out: crashes that are not recognised (the reason is that of another incarnation each time).

Change: of the runs lost with a worker, those are suspected that it had not reported yet, or else those up to 5 s old. A suspected task starts where no other job is under suspicion with it, preferably on an idle worker, and for 3 s no other job starts beside it, so that the next crash tells them apart. Its job fails after three crashes, two of them with no other job under suspicion, or after four in any case. Crashes are part of the job's row, counted once per incarnation of a worker; the start of a suspected task is recorded before it is sent, so that the next owner can tell. Not counted: workers that were silent (unless another incarnation appears within a minute), that announced to leave, and starts that were not sent or were refused by the next incarnation.

--- a/arranger/advice_test.go
+++ b/arranger/advice_test.go
@@ -89,7 +89,7 @@
 	}
 	o2 = h.planAfter(adviceRetryDelay)
 	h.grantTickets(o2.AdviceRequests[0], time.Minute, "w0-0")
-	h.SetWorker(Worker{ID: "w0-0", Incarnation: 2, Service: "tabulator", Rack: "r1-0", Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
+	h.SetWorker(h.now, Worker{ID: "w0-0", Incarnation: 2, Service: "tabulator", Rack: "r1-0", Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
 	h.HandleReport(h.now, Report{Worker: "w0-0", RequestedAt: h.now})
 	o = h.planAfter(time.Second)
 	if len(o.Starts) != 0 || len(o.AdviceRequests) != 1 {
--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -32,7 +32,13 @@
 	// awaitedReports maps workers on which a previous owner may have started tasks to the time when the last
 	// lease there has expired.
 	awaitedReports map[string]time.Time
-	claims         [][]*place
+	// silentLosses holds workers that were removed without an answer, trials the suspected tasks that a previous owner started on a worker, both by
+	// the ID of the worker.
+	silentLosses map[string]silentLoss
+	trials       map[string][]*task
+	// inheritedCrashes holds the workers that have restarted before they reported to this owner.
+	inheritedCrashes map[string]Trial
+	claims           [][]*place
 	// urgentUsage records the recent use of accelerators by urgent work.
 	urgentUsage usageHistory
 	// speeds rates the speed of the workers.
@@ -64,6 +70,10 @@
 		guaranteed:     map[string]int{},
 		dirty:          map[string]bool{},
 		awaitedReports: map[string]time.Time{},
+		silentLosses:   map[string]silentLoss{},
+		trials:         map[string][]*task{},
+
+		inheritedCrashes: map[string]Trial{},
 	}
 }
 
@@ -99,6 +109,11 @@
 		if j.workersUnknown {
 			a.dirty[j.ID] = true
 		}
+		for _, id := range j.inheritedWorkers {
+			if crash, crashed := a.inheritedCrashes[id]; crashed {
+				j.inheritedCrashes = append(j.inheritedCrashes, crash)
+			}
+		}
 	}
 	j.criticalPath = criticalPathOf(j.Steps)
 	j.deadline = j.Accepted.Add(time.Duration(j.Policy.Stretch*float64(j.criticalPath)) + j.Policy.Objective)
@@ -107,6 +122,7 @@
 	a.createDueOccurrences(j, now)
 	a.createOccurrencesThrough(j, progress.lastOccurrence())
 	a.restore(j, progress)
+	a.settleRestored(now, j)
 	a.markReadyStages(j, now)
 	a.finishIfDone(j)
 }
--- a/arranger/arranger_bench_test.go
+++ b/arranger/arranger_bench_test.go
@@ -12,7 +12,7 @@
 	a := New(Options{StopTime: 400 * time.Millisecond})
 	for i := range workers {
 		rack := fmt.Sprintf("r1-%d", i/8)
-		a.SetWorker(Worker{ID: fmt.Sprintf("w%03d", i), Service: "tabulator", Rack: rack, Labels: []string{rack}, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
+		a.SetWorker(start, Worker{ID: fmt.Sprintf("w%03d", i), Service: "tabulator", Rack: rack, Labels: []string{rack}, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
 		a.HandleReport(start, Report{Worker: fmt.Sprintf("w%03d", i), RequestedAt: start})
 	}
 	for i := range (workers*8 + waiting) / 20 {
--- a/arranger/arranger_test.go
+++ b/arranger/arranger_test.go
@@ -30,7 +30,7 @@
 }
 
 func (h *harness) addWorker(id, rack string) {
-	h.SetWorker(Worker{
+	h.SetWorker(h.now, Worker{
 		ID: id, Incarnation: 1, Service: "tabulator", Rack: rack, Labels: []string{"a", rack},
 		Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8},
 	})
@@ -413,7 +413,7 @@
 	h := newHarness(t, 1, 1)
 	w, _ := h.Worker("w0-0")
 	w.Draining = true
-	h.SetWorker(w)
+	h.SetWorker(h.now, w)
 	h.AddJob(h.now, jobOf("job", 0, single(1, 1)), Progress{}, false)
 	if o := h.planAfter(0); len(o.Starts) != 0 {
 		t.Fatalf("started on a draining worker: %+v", o.Starts)
--- a/arranger/crash.go
+++ b/arranger/crash.go
@@ -1,43 +1,326 @@
 package arranger
 
-import "time"
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
-// WorkerRestarted removes a worker of which another incarnation has appeared, so that all runs on it are lost.
-func (a *Arranger) WorkerRestarted(id, reason string) {
-	if w := a.workers[id]; w != nil {
-		a.logLostRuns(w)
+// A run that was lost with its worker may have crashed it. Suspected are the
+// runs that the worker had not reported yet; the others had worked there for a
+// while. A suspected task starts only where no other job is under suspicion
+// with it, so that a further crash tells which of them is the cause.
+
+const (
+	// maxCrashes is the number of workers that may crash under suspected runs of a task before its job fails;
+	// minCrashes of them suffice if the task was suspected alone in aloneCrashes.
+	maxCrashes, minCrashes, aloneCrashes = 4, 3, 2
+	// probation is how long a suspected task must run before others may start beside it.
+	probation = 3 * time.Second
+	// recentStart is the age up to which a reported run is suspected if the worker had no unreported one.
+	recentStart = 5 * time.Second
+	// silentMemory is how long the loss of a worker that did not answer is remembered, in case it turns out to have crashed.
+	silentMemory = time.Minute
+	// crashRisk is added to the misfit of a candidate for each accelerator in use that a suspected task puts at risk.
+	crashRisk = 2
+	// maxLoggedTasks is the number of tasks that a log line names.
+	maxLoggedTasks = 8
+)
+
+// Trial is a start of a suspected task on an incarnation of a worker.
+type Trial struct {
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"born"`
+}
+
+func (r Trial) String() string { return fmt.Sprintf("%s@%d", r.Worker, r.Incarnation) }
+
+// silentLoss is a worker that was removed without an answer, with the tasks to suspect if it has crashed.
+type silentLoss struct {
+	trial     Trial
+	address   string
+	suspects  []*task
+	removedAt time.Time
+}
+
+// suspected reports whether a worker has crashed under a run of the task that may be the cause.
+func (t *task) suspected() bool { return len(t.crashes) > 0 }
+
+// crashedOn reports whether the worker crashed under a suspected run of the task, in any of its incarnations.
+func (t *task) crashedOn(worker string) bool {
+	for crash := range t.crashes {
+		if strings.HasPrefix(crash, worker+"@") {
+			return true
+		}
 	}
-	a.RemoveWorker(id, reason)
+	return false
 }
 
-// maxLoggedRuns is the number of runs that a log line names.
-const maxLoggedRuns = 8
+// exhausted reports whether enough workers have crashed under the task to give it up.
+func (t *task) exhausted() bool {
+	alone := 0
+	for _, wasAlone := range t.crashes {
+		if wasAlone {
+			alone++
+		}
+	}
+	return len(t.crashes) >= maxCrashes || len(t.crashes) >= minCrashes && alone >= aloneCrashes
+}
 
-// logLostRuns logs the runs that are lost with their worker, and which of them it has never reported.
-func (a *Arranger) logLostRuns(w *worker) {
-	var runs, unreported int
-	var names []string
-	var youngest time.Duration
+// proven reports whether the run has shown that it does not crash its worker at once.
+func (p *place) proven() bool {
+	return !p.requestedAt.IsZero() && (!p.task.suspected() || p.requestedAt.Sub(p.placedAt) >= probation)
+}
+
+// hasUnprovenOther reports whether a run or a claim of another job on the worker is not proven.
+func (w *worker) hasUnprovenOther(j *job) bool {
+	return slices.ContainsFunc(w.places, func(p *place) bool { return p.task.stage.job != j && !p.proven() })
+}
+
+// onProbation returns the job of a suspected task on the worker that is not proven, or nil.
+func (w *worker) onProbation() *job {
 	for _, p := range w.places {
-		if p.state == placeClaimed {
+		if p.task.suspected() && !p.proven() {
+			return p.task.stage.job
+		}
+	}
+	return nil
+}
+
+// mayShare reports whether a place may start beside the ordered runs on its worker without mixing a suspected task with unproven
+// runs of other jobs.
+func (p *place) mayShare() bool {
+	return !slices.ContainsFunc(p.worker.places, func(other *place) bool {
+		return other.state != placeClaimed && other.task.stage.job != p.task.stage.job && !other.proven() && (p.task.suspected() || other.task.suspected())
+	})
+}
+
+// WorkerRestarted removes a worker of which another incarnation has appeared, so that all runs on it are lost, and
+// suspects the runs that may have crashed it; wasSent reports whether the start of a run was sent to the worker.
+func (a *Arranger) WorkerRestarted(now time.Time, id, reason string, wasSent func(name TaskName, run int64) bool) {
+	w := a.workers[id]
+	if w == nil {
+		return
+	}
+	crash := Trial{Worker: id, Incarnation: w.Incarnation}
+	suspects := w.crashSuspects(wasSent)
+	for _, t := range a.trials[id] {
+		if t.trial != nil && (t.trial.Incarnation == w.Incarnation || w.Incarnation == 0) {
+			suspects = append(suspects, t)
+		}
+	}
+	a.logLostRuns(w, suspects)
+	if !w.Leaving && !w.hasReported && w.Incarnation != 0 {
+		a.inheritCrash(crash)
+	}
+	a.removeWorker(id, reason)
+	if !w.Leaving {
+		a.attributeCrash(now, crash, suspects)
+	}
+}
+
+// inheritCrash notes for the jobs of a previous owner that a worker has crashed on which they may have had runs.
+func (a *Arranger) inheritCrash(crash Trial) {
+	a.inheritedCrashes[crash.Worker] = crash
+	for _, j := range a.active {
+		if j.inherited && slices.Contains(j.inheritedWorkers, crash.Worker) {
+			j.inheritedCrashes = append(j.inheritedCrashes, crash)
+		}
+	}
+}
+
+// attributeInheritedCrashes suspects the tasks of inherited jobs that are found on no worker, once all workers have reported on
+// which they may be, of the crashes that the previous owner had not recorded.
+func (a *Arranger) attributeInheritedCrashes(now time.Time) {
+	if len(a.inheritedCrashes) == 0 {
+		return
+	}
+	for _, j := range slices.Clone(a.active) {
+		if len(j.inheritedCrashes) == 0 || a.awaitsReport(j) {
 			continue
 		}
-		runs++
-		if p.requestedAt.IsZero() {
-			unreported++
-			if len(names) < maxLoggedRuns {
-				names = append(names, p.task.label())
+		var suspects []*task
+		for _, s := range j.stages {
+			for _, t := range s.tasks {
+				if !s.ready.IsZero() && !t.done && t.place == nil {
+					suspects = append(suspects, t)
+				}
 			}
+		}
+		crashes := j.inheritedCrashes
+		j.inheritedCrashes = nil
+		for _, crash := range crashes {
+			a.recordCrash(now, crash, suspects, false)
+		}
+	}
+}
+
+// crashSuspects returns the tasks whose runs may have crashed the worker: those that it has not proven, or else those that started
+// recently.
+func (w *worker) crashSuspects(wasSent func(name TaskName, run int64) bool) []*task {
+	var unproven, recent []*task
+	for _, p := range w.places {
+		switch {
+		case p.state == placeClaimed || wasSent != nil && !wasSent(p.task.name(), p.run):
+		case !p.proven():
+			unproven = append(unproven, p.task)
+		case p.requestedAt.Sub(p.placedAt) < recentStart:
+			recent = append(recent, p.task)
+		}
+	}
+	if len(unproven) > 0 {
+		return unproven
+	}
+	return recent
+}
+
+// attributeCrash records the crash of an incarnation of a worker for the suspected tasks, once for each, and fails the jobs of those that have
+// crashed too many.
+func (a *Arranger) attributeCrash(now time.Time, crash Trial, suspects []*task) {
+	alone := !slices.ContainsFunc(suspects, func(t *task) bool { return t.stage.job != suspects[0].stage.job })
+	a.recordCrash(now, crash, suspects, alone)
+}
+
+// recordCrash is attributeCrash for suspects of which it is known whether they are of one job.
+func (a *Arranger) recordCrash(now time.Time, crash Trial, suspects []*task, alone bool) {
+	for _, t := range suspects {
+		j := t.stage.job
+		if _, known := t.crashes[crash.String()]; known || t.done || j.state.Final() {
+			continue
+		}
+		if t.crashes == nil {
+			t.crashes = map[string]bool{}
+			t.stage.suspects++
+		}
+		t.crashes[crash.String()] = alone
+		t.trial = nil
+		a.dirty[j.ID] = true
+		a.changed = true
+		a.options.Log("task suspected of crashing its worker", "task", t.label(), "worker", crash.Worker, "born", crash.Incarnation, "alone", alone,
+			"crashes", len(t.crashes), "at", now)
+		if t.exhausted() {
+			a.endJob(j, Failed, fmt.Sprintf("%d workers crashed under task %s", len(t.crashes), t.label()))
+		}
+	}
+}
+
+// RemoveWorker removes a worker on which no run can be alive any more. Whether it has crashed shows when it answers again.
+func (a *Arranger) RemoveWorker(now time.Time, id, reason string) {
+	w := a.workers[id]
+	if w == nil {
+		delete(a.awaitedReports, id)
+		return
+	}
+	maps.DeleteFunc(a.silentLosses, func(_ string, l silentLoss) bool { return now.Sub(l.removedAt) > silentMemory })
+	var suspects []*task
+	for _, p := range w.places {
+		if p.state != placeClaimed && !p.proven() {
+			suspects = append(suspects, p.task)
+		}
+	}
+	if len(suspects) > 0 && !w.Leaving {
+		a.silentLosses[id] = silentLoss{Trial{id, w.Incarnation}, w.Address, suspects, now}
+	}
+	a.removeWorker(id, reason)
+}
+
+// resolveSilentLoss attributes the loss of a worker to a crash if another incarnation of it, or another worker at its address, appears.
+func (a *Arranger) resolveSilentLoss(now time.Time, info Worker) {
+	for id, loss := range a.silentLosses {
+		if id != info.ID && (info.Address == "" || info.Address != loss.address) {
 			continue
 		}
-		if age := p.requestedAt.Sub(p.placedAt); youngest == 0 || age < youngest {
-			youngest = age
+		delete(a.silentLosses, id)
+		sameIncarnation := id == info.ID && (info.Incarnation == loss.trial.Incarnation || info.Incarnation == 0 || loss.trial.Incarnation == 0)
+		if !sameIncarnation && now.Sub(loss.removedAt) <= silentMemory {
+			a.attributeCrash(now, loss.trial, loss.suspects)
 		}
 	}
-	if runs == 0 {
+}
+
+// restoreCrashes applies the recorded crashes of a task, and expects to learn what became of a recorded trial.
+func (a *Arranger) restoreCrashes(t *task, recorded TaskProgress) {
+	if len(recorded.Crashes) > 0 {
+		t.crashes = maps.Clone(recorded.Crashes)
+		t.stage.suspects++
+	}
+	if recorded.Trial == nil || t.done {
+		return
+	}
+	trial := *recorded.Trial
+	t.trial = &trial
+	a.trials[trial.Worker] = append(a.trials[trial.Worker], t)
+}
+
+// settleRestored settles the recorded trials of a job on workers that have restarted since.
+func (a *Arranger) settleRestored(now time.Time, j *job) {
+	for _, s := range j.stages {
+		for _, t := range s.tasks {
+			if t.trial == nil {
+				continue
+			}
+			if w := a.workers[t.trial.Worker]; w != nil {
+				a.resolveTrials(now, w)
+			}
+			if j.state.Final() {
+				return
+			}
+		}
+	}
+}
+
+// resolveTrials settles the trials of a previous owner on a worker that has another incarnation now.
+func (a *Arranger) resolveTrials(now time.Time, w *worker) {
+	for _, t := range a.trials[w.ID] {
+		if t.trial != nil && w.Incarnation != 0 && t.trial.Incarnation != 0 && t.trial.Incarnation != w.Incarnation {
+			a.attributeCrash(now, *t.trial, []*task{t})
+		}
+	}
+}
+
+// forgetTrials drops the trials of a previous owner on a worker that has reported what runs there.
+func (a *Arranger) forgetTrials(id string) {
+	for _, t := range a.trials[id] {
+		t.trial = nil
+	}
+	delete(a.trials, id)
+}
+
+// trialToRecord returns the start of a suspected task whose outcome the next owner has to find out, or nil.
+func (t *task) trialToRecord() *Trial {
+	if p := t.place; p != nil && t.suspected() && p.state != placeClaimed && !p.proven() {
+		return &Trial{Worker: p.worker.ID, Incarnation: p.worker.Incarnation}
+	}
+	return t.trial
+}
+
+// logLostRuns logs the runs that are lost with their worker and the tasks that may have crashed it.
+func (a *Arranger) logLostRuns(w *worker, suspects []*task) {
+	var names []string
+	for _, t := range suspects[:min(len(suspects), maxLoggedTasks)] {
+		names = append(names, t.label())
+	}
+	runs, unreported := 0, 0
+	var youngest time.Duration
+	for _, p := range w.places {
+		switch {
+		case p.state == placeClaimed:
+			continue
+		case p.requestedAt.IsZero():
+			unreported++
+		default:
+			if age := p.requestedAt.Sub(p.placedAt); youngest == 0 || age < youngest {
+				youngest = age
+			}
+		}
+		runs++
+	}
+	if runs == 0 && len(suspects) == 0 {
 		return
 	}
 	a.counts.WorkersRestarted++
-	a.options.Log("runs lost with their worker", "worker", w.ID, "draining", w.Draining, "runs", runs, "unreported", unreported, "unreportedTasks", names,
-		"youngestReported", youngest.String())
+	a.options.Log("runs lost with their worker", "worker", w.ID, "born", w.Incarnation, "planned", w.Leaving, "runs", runs, "unreported", unreported,
+		"youngestReported", youngest.String(), "suspects", len(suspects), "suspectedTasks", names)
 }
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -7,10 +7,10 @@
 )
 
 // SetWorker adds or updates a worker; a changed incarnation means that it restarted and has lost its runs.
-func (a *Arranger) SetWorker(info Worker) {
+func (a *Arranger) SetWorker(now time.Time, info Worker) {
 	w := a.workers[info.ID]
 	if w != nil && w.Incarnation != info.Incarnation && info.Incarnation != 0 && w.Incarnation != 0 {
-		a.WorkerRestarted(info.ID, "worker restarted")
+		a.WorkerRestarted(now, info.ID, "worker restarted", nil)
 		w = nil
 	}
 	if w == nil {
@@ -21,6 +21,8 @@
 	}
 	a.changed = a.changed || w.Draining != info.Draining || w.Capacity != info.Capacity
 	w.Worker = info
+	a.resolveSilentLoss(now, info)
+	a.resolveTrials(now, w)
 }
 
 // ExpectReport delays inherited jobs until the worker has reported, or until the given time, when the leases of
@@ -63,8 +65,8 @@
 	}
 }
 
-// RemoveWorker removes a worker on which no run can be alive any more.
-func (a *Arranger) RemoveWorker(id, reason string) {
+// removeWorker removes a worker on which no run can be alive any more.
+func (a *Arranger) removeWorker(id, reason string) {
 	delete(a.awaitedReports, id)
 	w := a.workers[id]
 	if w == nil {
--- a/arranger/idle_test.go
+++ b/arranger/idle_test.go
@@ -67,7 +67,7 @@
 			ID: fmt.Sprintf("w%02d", i), Incarnation: 1, Service: "tabulator", Rack: fmt.Sprintf("r%d", i/12),
 			Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		}
-		f.SetWorker(info)
+		f.SetWorker(f.now, info)
 		f.members = append(f.members, &simWorker{info: info, pollAt: f.now.Add(time.Duration(i) * simStep / 4), requestedAt: f.now, answeredAt: f.now, leaseUntil: f.now.Add(simLease), stopped: map[string]bool{}})
 	}
 	return f
@@ -125,10 +125,10 @@
 		w.runs, w.ended, w.number, w.polling, w.stopped = nil, nil, 0, false, map[string]bool{}
 		w.info.Incarnation++
 		w.pollAt, w.requestedAt, w.answeredAt, w.leaseUntil = f.now, f.now, f.now, f.now.Add(simLease)
-		f.SetWorker(w.info)
+		f.SetWorker(f.now, w.info)
 	case 6:
 		w.info.Draining = !w.info.Draining
-		f.SetWorker(w.info)
+		f.SetWorker(f.now, w.info)
 	default:
 	}
 }
@@ -191,8 +191,8 @@
 			f.SetReachable(w.info.ID, false)
 		}
 		if f.now.Sub(w.answeredAt) > simLeaseExpiry {
-			f.RemoveWorker(w.info.ID, "leases expired")
-			f.SetWorker(w.info)
+			f.RemoveWorker(f.now, w.info.ID, "leases expired")
+			f.SetWorker(f.now, w.info)
 			w.answeredAt = f.now
 		}
 		return
--- a/arranger/leave_test.go
+++ b/arranger/leave_test.go
@@ -38,7 +38,7 @@
 			}
 			leaving, _ := h.Worker(o.Worker)
 			leaving.Draining, leaving.LeavesAt = true, h.now.Add(left)
-			h.SetWorker(leaving)
+			h.SetWorker(h.now, leaving)
 			got := len(h.planAfter(test.after).Stops) > 0
 			if got != test.want {
 				t.Errorf("stopped: %t, want %t", got, test.want)
@@ -56,7 +56,7 @@
 	h.confirmStarts(starts)
 	leaving, _ := h.Worker(starts.Starts[0].Worker)
 	leaving.Draining, leaving.LeavesAt = true, h.now.Add(800*time.Millisecond)
-	h.SetWorker(leaving)
+	h.SetWorker(h.now, leaving)
 	if stops := h.planAfter(100 * time.Millisecond).Stops; len(stops) != 2 {
 		t.Fatalf("%d stops, want the gang's two", len(stops))
 	}
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -126,7 +126,10 @@
 	Rack        string
 	Labels      []string
 	Capacity    Resources
-	Draining    bool
+	// Draining means that the worker gets no new tasks.
+	Draining bool
+	// Leaving means that the worker has announced that it will shut down.
+	Leaving bool
 	// LeavesAt is the earliest time at which a draining worker shuts down; zero if unknown.
 	LeavesAt time.Time
 }
@@ -218,8 +221,10 @@
 	// Speed is the rated speed of the worker relative to the average.
 	Speed float64
 	// Gang means that the task works only together with the other tasks of its step.
-	Gang   bool
-	Reason string
+	Gang bool
+	// Suspected means that workers have crashed under the task, so that the start has to be recorded before it is sent.
+	Suspected bool
+	Reason    string
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		fits = true
-		if t.avoids(task, cand.worker) {
+		if t.avoids(task, cand.worker) || t.mixesSuspects(task, cand.worker) {
 			continue
 		}
 		if !*found || c.compare(*best) < 0 {
@@ -111,7 +111,7 @@
 			if cand.trial == t.number && evaluations[i].version != cand.version {
 				t.reevaluate(&evaluations[i], u.stage, cand)
 			}
-			if !evaluations[i].ok || t.avoids(task, cand.worker) {
+			if !evaluations[i].ok || t.avoids(task, cand.worker) || t.mixesSuspects(task, cand.worker) {
 				continue
 			}
 			if best < 0 || evaluations[i].compare(evaluations[best].choice) < 0 {
@@ -159,6 +159,9 @@
 	if cand.worker.health.suspect(t.pass.now) {
 		c.misfit += suspectPenalty
 	}
+	if s.suspects > 0 {
+		c.misfit += crashRisk * float64(max(0, cand.worker.Capacity.Accelerators-available.Accelerators))
+	}
 	if fits {
 		return c, true
 	}
@@ -174,9 +177,23 @@
 	if s.step.MaxPerWorker > 0 && cand.count(s)+t.placedOn(cand) >= s.step.MaxPerWorker {
 		return false
 	}
+	if cand.probation != nil && cand.probation != s.job {
+		return false
+	}
 	return !w.conflicts(s.step) && s.mayRunOn(w, t.pass.now)
 }
 
+// mixesSuspects reports whether a suspected task must not start on a worker: where a crash would leave open which job caused it, and,
+// unless the unit has to make do with such workers, where one has crashed under the task.
+func (t *trial) mixesSuspects(task *task, w *worker) bool {
+	if !task.suspected() {
+		return false
+	}
+	mixes := w.hasUnprovenOther(task.stage.job) || !t.pass.acceptsSuspects && task.crashedOn(w.ID)
+	t.pass.avoided = t.pass.avoided || mixes
+	return mixes
+}
+
 // avoids reports whether earlier failures keep the task from a worker that has room for it.
 func (t *trial) avoids(task *task, w *worker) bool {
 	if len(task.failedOn) == 0 && len(w.health.failedJobs) == 0 || !t.avoidsFailed(task, w) {
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -64,6 +64,7 @@
 	a.stopRunsOnLeavingWorkers(now)
 	a.retryOrders(now)
 	a.startClearedClaims(now)
+	a.attributeInheritedCrashes(now)
 	ranks := a.ranks()
 	units := a.units(now, ranks)
 	if len(units) == 0 {
@@ -272,7 +273,7 @@
 		}
 	}
 	for _, p := range group {
-		if !p.task.stage.mayRunOn(p.worker, now) {
+		if !p.task.stage.mayRunOn(p.worker, now) || !p.mayShare() {
 			return false
 		}
 	}
@@ -291,10 +292,11 @@
 		p.task.lastRun = run
 		p.state = placeStarting
 		p.placedAt = now
+		p.task.trial = nil
 		ticket, _ := p.task.stage.ticketFor(p.worker, now)
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
 			Task: p.task.name(), Run: run, Worker: p.worker.ID, Speed: p.worker.speed(), Ticket: ticket,
-			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Reason: reason,
+			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Suspected: p.task.suspected(), Reason: reason,
 		})
 	}
 }
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -22,11 +22,15 @@
 	WorkersUnknown bool `json:"-"`
 }
 
-// TaskProgress is the recorded state of a task that has failed runs or a checkpoint.
+// TaskProgress is the recorded state of a task that has failed runs, a checkpoint or crashes.
 type TaskProgress struct {
 	// FailedRuns are the numbers of the failed runs, kept since their ends may be reported again.
 	FailedRuns []int64 `json:"failedRuns,omitempty"`
 	Checkpoint string  `json:"checkpoint,omitempty"`
+	// Crashes maps the incarnations of workers that crashed under suspected runs, named WORKER@INCARNATION, to whether no other job was suspected.
+	Crashes map[string]bool `json:"crashes,omitempty"`
+	// Trial is a start of a task with crashes whose outcome is not known.
+	Trial *Trial `json:"trial,omitempty"`
 }
 
 // lastOccurrence returns the highest occurrence with recorded progress, or -1.
@@ -47,12 +51,13 @@
 	return last
 }
 
-// WithoutCheckpoints returns a copy of the progress in which Tasks holds only failed runs.
+// WithoutCheckpoints returns a copy of the progress in which Tasks holds only failed runs and crashes.
 func (p Progress) WithoutCheckpoints() Progress {
 	kept := map[string]TaskProgress{}
 	for name, t := range p.Tasks {
-		if len(t.FailedRuns) > 0 {
-			kept[name] = TaskProgress{FailedRuns: t.FailedRuns}
+		t.Checkpoint = ""
+		if len(t.FailedRuns) > 0 || len(t.Crashes) > 0 {
+			kept[name] = t
 		}
 	}
 	p.Tasks = kept
@@ -74,13 +79,15 @@
 			p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.stepNumber)] = bits
 		}
 		for _, t := range s.tasks {
-			if t.done || (len(t.failedRuns) == 0 && t.checkpoint == "") {
+			if t.done || (len(t.failedRuns) == 0 && t.checkpoint == "" && !t.suspected()) {
 				continue
 			}
 			if p.Tasks == nil {
 				p.Tasks = map[string]TaskProgress{}
 			}
-			p.Tasks[t.key()] = TaskProgress{FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint}
+			p.Tasks[t.key()] = TaskProgress{
+				FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: maps.Clone(t.crashes), Trial: t.trialToRecord(),
+			}
 		}
 	}
 	p.Workers = a.possibleWorkers(j)
@@ -148,6 +155,7 @@
 			}
 			kept := p.Tasks[t.key()]
 			t.failedRuns, t.checkpoint = slices.Clone(kept.FailedRuns), kept.Checkpoint
+			a.restoreCrashes(t, kept)
 		}
 	}
 }
--- a/arranger/quarantine_test.go
+++ b/arranger/quarantine_test.go
@@ -12,7 +12,7 @@
 func (h *harness) addWorkers(service string, count int) {
 	for i := range count {
 		id := fmt.Sprintf("%s-%02d", service, i)
-		h.SetWorker(Worker{ID: id, Incarnation: 1, Service: service, Rack: "r1-0", Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
+		h.SetWorker(h.now, Worker{ID: id, Incarnation: 1, Service: service, Rack: "r1-0", Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
 		h.HandleReport(h.now, Report{Worker: id, RequestedAt: h.now})
 	}
 }
@@ -61,7 +61,7 @@
 		{"draining", func(_ *harness, w *worker) { w.Draining = true }},
 		{"silent", func(h *harness, w *worker) { h.SetReachable(w.ID, false) }},
 		{"without a report", func(_ *harness, w *worker) { w.hasReported = false }},
-		{"removed", func(h *harness, w *worker) { h.RemoveWorker(w.ID, "leases expired") }},
+		{"removed", func(h *harness, w *worker) { h.RemoveWorker(h.now, w.ID, "leases expired") }},
 	} {
 		for _, quarantined := range []int{0, 10} {
 			t.Run(fmt.Sprintf("%s, %d quarantined", test.name, quarantined), func(t *testing.T) {
--- a/arranger/random_test.go
+++ b/arranger/random_test.go
@@ -89,7 +89,7 @@
 func (r *randomTest) restartWorker() {
 	w := r.sortedWorkers[r.random.IntN(len(r.sortedWorkers))].Worker
 	w.Incarnation++
-	r.SetWorker(w)
+	r.SetWorker(start, w)
 	r.endNumbers[w.ID] = 0
 	r.now = r.now.Add(time.Millisecond)
 	r.HandleReport(r.now, Report{Worker: w.ID, RequestedAt: r.now})
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -41,6 +41,7 @@
 	w.hasReported = true
 	w.reachable = true
 	delete(a.awaitedReports, w.ID)
+	defer a.forgetTrials(w.ID)
 	for _, e := range r.Ended {
 		if e.Number > w.lastEndNumber {
 			w.lastEndNumber = e.Number
@@ -139,7 +140,13 @@
 	if r.Checkpoint != "" && r.Checkpoint != p.task.checkpoint {
 		a.saveCheckpoint(p.task, r.Checkpoint)
 	}
+	wasProven := p.proven()
 	p.requestedAt = requestedAt
+	if p.task.suspected() && !wasProven && p.proven() {
+		// Others may start beside it, and the next owner need not find out about it.
+		a.changed = true
+		a.dirty[p.task.stage.job.ID] = true
+	}
 	if r.Percent > p.percent || p.progressedAt.IsZero() {
 		p.progressedAt = now
 		if p.firstProgressAt.IsZero() && r.Percent > 0 {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -57,6 +57,10 @@
 	checkpoint string
 	// failedOn is the set of workers on which the task failed.
 	failedOn map[string]bool
+	// crashes maps the incarnations of workers that crashed under suspected runs of the task to whether no other job was suspected.
+	crashes map[string]bool
+	// trial is a start of the task by a previous owner of which it is not known whether it crashed the worker.
+	trial *Trial
 }
 
 func (t *task) name() TaskName {
@@ -86,6 +90,8 @@
 	// advice is the state of requests to the advice service; nil before the first request.
 	advice *advice
 	wait   stageWait
+	// suspects is the number of tasks suspected of crashing their workers.
+	suspects int
 }
 
 type job struct {
@@ -104,6 +110,8 @@
 	// inherited means that a previous owner may have started tasks of the job, on inheritedWorkers if it recorded them.
 	inherited        bool
 	inheritedWorkers []string
+	// inheritedCrashes are the crashes of such workers that the previous owner had not recorded.
+	inheritedCrashes []Trial
 	// workersUnknown means that the record of its workers could not be read.
 	workersUnknown bool
 	sequence       int
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -33,6 +33,8 @@
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
 	// stopped.
 	free, freeAfterStops Resources
+	// probation is the job of a suspected task on the worker that other jobs must not join, or nil.
+	probation *job
 	// victims caches the worker's runs in the order in which they would be preempted; nil if not computed.
 	victims []victim
 
@@ -141,7 +143,7 @@
 			continue
 		}
 		cand := &all[i]
-		*cand = candidate{worker: w, speed: w.speed(), free: w.free(), freeAfterStops: w.freeAfterStops()}
+		*cand = candidate{worker: w, speed: w.speed(), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
 		ps.free += max(0, cand.free.Accelerators)
@@ -217,8 +219,9 @@
 		}
 		return
 	}
+	suspectsWait := false
 	for _, t := range u.stage.tasks {
-		if t.done || t.place != nil {
+		if t.done || t.place != nil || suspectsWait && t.suspected() {
 			continue
 		}
 		if ps.mustDeferStart(u) {
@@ -226,7 +229,8 @@
 		}
 		if !ps.placeAllOrNone(u, []*task{t}) {
 			u.stage.recordNoRoom(ps.now)
-			if ps.avoided && t.failures() > 0 {
+			if ps.avoided && (t.failures() > 0 || t.suspected()) {
+				suspectsWait = suspectsWait || t.suspected()
 				continue
 			}
 			if !ps.avoided && u.stage.step.MaxPerWorker == 0 {
@@ -425,6 +429,9 @@
 		cand.freeAfterStops = cand.freeAfterStops.Sub(need)
 		cand.rack.free -= need.Accelerators
 		cand.victims = nil
+		if t.suspected() {
+			cand.probation = u.stage.job
+		}
 		ps.free -= need.Accelerators
 		group = append(group, pl)
 	}
--- a/arranger/survey_test.go
+++ b/arranger/survey_test.go
@@ -112,7 +112,7 @@
 	h := newHarness(t, 2, 3)
 	for _, rack := range []string{"r1-0", "r1-1"} {
 		id := "late-" + rack
-		h.SetWorker(Worker{
+		h.SetWorker(h.now, Worker{
 			ID: id, Incarnation: 1, Service: "tabulator", Rack: rack, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8},
 		})
 		h.ExpectReport(id, h.now.Add(time.Minute))
--- a/director/fleet.go
+++ b/director/fleet.go
@@ -133,14 +133,14 @@
 	t.Logger.Info("worker no longer listed", "worker", s.worker.ID)
 	if info, ok := t.arranger.Worker(s.worker.ID); ok {
 		info.Draining = true
-		t.arranger.SetWorker(info)
+		t.arranger.SetWorker(time.Now(), info)
 	}
 }
 
 // updateWorker opens a session with the worker if necessary and passes its description to the arranger, unless the description is of an earlier incarnation.
 func (t *term) updateWorker(w platform.Worker) {
 	info := arranger.Worker{
-		ID: w.ID, Incarnation: w.Incarnation, Service: w.Service, Address: w.Address, Rack: w.Rack, Labels: w.Labels, Draining: w.Draining,
+		ID: w.ID, Incarnation: w.Incarnation, Service: w.Service, Address: w.Address, Rack: w.Rack, Labels: w.Labels, Draining: w.Draining, Leaving: w.Draining,
 		Capacity: arranger.Resources{CPU: w.CPU, MemoryMB: w.MemoryMB, Accelerators: w.Accelerators},
 	}
 	previous, known := t.arranger.Worker(w.ID)
@@ -155,7 +155,7 @@
 		t.Logger.Info("worker state changed", "worker", w.ID, "draining", w.Draining, "remaining", w.DrainRemaining.String())
 	}
 	t.openSession(info)
-	t.arranger.SetWorker(info)
+	t.arranger.SetWorker(time.Now(), info)
 }
 
 // earliest returns the earlier of two times, ignoring a zero x; a list entry holds the remaining time from when it was written, so that reading it again gives a later end.
--- a/director/orders.go
+++ b/director/orders.go
@@ -85,7 +85,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if outcomeUnknown && err != nil && !errors.Is(err, platform.ErrFenced) && !errors.Is(err, platform.ErrInstanceMismatch) {
+	if outcomeUnknown && err != nil && !errors.Is(err, platform.ErrFenced) {
 		// An earlier attempt may have been executed, or may yet be.
 		err = fmt.Errorf("%w, then: %w", platform.ErrOutcomeUnknown, err)
 	}
@@ -116,7 +116,11 @@
 	case errors.Is(err, platform.ErrFenced):
 		t.cancel()
 	case errors.Is(err, platform.ErrInstanceMismatch):
-		t.closeSession(s, "another incarnation at its address", t.arranger.WorkerRestarted)
+		if !errors.Is(err, platform.ErrOutcomeUnknown) {
+			// The run cannot have crashed the incarnation that it was meant for.
+			t.arranger.StartRefused(now, order.Task, order.Run)
+		}
+		t.closeSession(s, "another incarnation at its address", t.removeRestarted)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		t.arranger.StartOutcomeUnknown(order.Task, order.Run)
 	case errors.Is(err, platform.ErrInvalidTicket):
--- a/director/orders_test.go
+++ b/director/orders_test.go
@@ -19,7 +19,7 @@
 	}
 	owner := newTerm(d, registrar.Lease{Epoch: 1}, 1, now)
 	began := time.Now()
-	owner.arranger.SetWorker(arranger.Worker{ID: "w", Service: "s", Capacity: arranger.Resources{Accelerators: 8}})
+	owner.arranger.SetWorker(time.Now(), arranger.Worker{ID: "w", Service: "s", Capacity: arranger.Resources{Accelerators: 8}})
 	owner.arranger.HandleReport(began, arranger.Report{Worker: "w", RequestedAt: began})
 	owner.arranger.AddJob(began, arranger.Job{
 		ID: "aaaaaaaaaaaaaaaa", Accepted: began, Policy: arranger.Policy{Service: "s"},
--- a/director/session.go
+++ b/director/session.go
@@ -55,7 +55,7 @@
 		if s.worker.Incarnation == info.Incarnation || info.Incarnation == 0 || s.worker.Incarnation == 0 {
 			return
 		}
-		t.closeSession(s, "worker restarted", t.arranger.WorkerRestarted)
+		t.closeSession(s, "worker restarted", t.removeRestarted)
 	}
 	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
 	t.sessions[info.ID] = s
@@ -72,7 +72,7 @@
 	return ctx
 }
 
-// closeSession ends the session with an incarnation of a worker on which nothing runs any more, and removes the worker from the arranger by the given method; the caller holds the term's mutex.
+// closeSession ends the session with an incarnation of a worker on which nothing runs any more, and removes the worker from the arranger by the given function; the caller holds the term's mutex.
 func (t *term) closeSession(s *session, reason string, remove func(id, reason string)) {
 	if t.sessions[s.worker.ID] != s {
 		return
@@ -85,6 +85,14 @@
 	t.requestPlan()
 }
 
+// removeRestarted removes a worker of which another incarnation has appeared from the arranger; the caller holds the term's mutex.
+func (t *term) removeRestarted(id, reason string) {
+	t.arranger.WorkerRestarted(time.Now(), id, reason, t.wasSent)
+}
+
+// removeSilent removes a worker whose leases have expired from the arranger; the caller holds the term's mutex.
+func (t *term) removeSilent(id, reason string) { t.arranger.RemoveWorker(time.Now(), id, reason) }
+
 // estimateClock estimates the worker's clock; the estimate may be ahead, since that clock may run slower than the local one.
 func (s *session) estimateClock() time.Duration { return s.workerClock + s.term.now() - s.respondedAt }
 
@@ -157,7 +165,7 @@
 		return false
 	}
 	if s.worker.Incarnation != 0 && received.Incarnation != 0 && received.Incarnation != s.worker.Incarnation {
-		t.closeSession(s, "another incarnation responded", t.arranger.WorkerRestarted)
+		t.closeSession(s, "another incarnation responded", t.removeRestarted)
 		return false
 	}
 	if _, known := t.arranger.Worker(s.worker.ID); !known {
@@ -254,9 +262,9 @@
 		t.Logger.Warn("request rejected by a worker that has seen a later epoch", "worker", s.worker.ID, "epoch", t.lease.Epoch)
 		t.cancel()
 	case errors.Is(err, platform.ErrInstanceMismatch):
-		t.closeSession(s, "another incarnation at its address", t.arranger.WorkerRestarted)
+		t.closeSession(s, "another incarnation at its address", t.removeRestarted)
 	case s.leaseExpired():
-		t.closeSession(s, "its leases have expired", t.arranger.RemoveWorker)
+		t.closeSession(s, "its leases have expired", t.removeSilent)
 	default:
 		if s.failures == 1 {
 			t.Logger.Warn("worker does not respond", "worker", s.worker.ID, "error", err.Error())
--- a/director/speeds_test.go
+++ b/director/speeds_test.go
@@ -20,7 +20,7 @@
 	for _, id := range []string{"w1", "w2"} {
 		info := arranger.Worker{ID: id, Incarnation: incarnation, Service: "s", Capacity: arranger.Resources{Accelerators: 8}}
 		owner.sessions[id] = &session{term: owner, worker: info}
-		owner.arranger.SetWorker(info)
+		owner.arranger.SetWorker(time.Now(), info)
 		owner.arranger.HandleReport(began, arranger.Report{Worker: id, RequestedAt: began})
 	}
 	return owner
--- a/director/term.go
+++ b/director/term.go
@@ -148,7 +148,7 @@
 			info := arranger.Worker{ID: w.ID, Address: w.Address, Incarnation: w.Incarnation, Draining: true}
 			recorded[w.ID] = true
 			t.openSession(info)
-			t.arranger.SetWorker(info)
+			t.arranger.SetWorker(time.Now(), info)
 		}
 	}
 	t.applyWorkerList(listedRows)
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -11,6 +11,8 @@
 // job. The next owner then knows on which workers runs of a job may exist, and
 // waits for the reports of these only. A worker that is listed already needs no
 // new write, so a job continues on its workers while the store is unavailable.
+// The start of a task that is suspected of crashing workers needs one, so that
+// the next owner learns of a crash that this one does not live to record.
 
 // unsentStart is a start that waits for a write of its job's progress row.
 type unsentStart struct {
@@ -31,7 +33,9 @@
 	// The rows of jobs whose starts are sent at once are written as well: they have to keep the workers.
 	change := t.writer.markJobsDirty(slices.Compact(ids))
 	t.writer.signal()
-	isRecorded := func(order arranger.StartOrder) bool { return t.recorded[order.Task.Job].lists(order.Worker) }
+	isRecorded := func(order arranger.StartOrder) bool {
+		return !order.Suspected && t.recorded[order.Task.Job].lists(order.Worker)
+	}
 	incomplete := gangsWithout(orders, isRecorded)
 	for _, order := range orders {
 		if isRecorded(order) && !incomplete[gangOf(order)] {
@@ -132,6 +136,11 @@
 	}
 }
 
+// wasSent reports whether the start of a run does not wait for a write; the caller holds the term's mutex.
+func (t *term) wasSent(name arranger.TaskName, run int64) bool {
+	return !slices.ContainsFunc(t.unsent[name.Job], func(start unsentStart) bool { return start.order.Task == name && start.order.Run == run })
+}
+
 // isWanted reports whether the start is still to be sent.
 func (t *term) isWanted(order arranger.StartOrder) bool {
 	w, known := t.arranger.Worker(order.Worker)
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -39,12 +39,12 @@
 			}
 		}},
 		{"worker restarted", func(owner *term, start arranger.StartOrder) {
-			owner.arranger.RemoveWorker(start.Worker, "worker restarted")
+			owner.arranger.RemoveWorker(time.Now(), start.Worker, "worker restarted")
 		}},
 		{"worker drains", func(owner *term, start arranger.StartOrder) {
 			w, _ := owner.arranger.Worker(start.Worker)
 			w.Draining = true
-			owner.arranger.SetWorker(w)
+			owner.arranger.SetWorker(time.Now(), w)
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -200,7 +200,7 @@
 	owner.recordStarts(context.Background(), starts)
 	w, _ := owner.arranger.Worker(starts[1].Worker)
 	w.Draining = true
-	owner.arranger.SetWorker(w)
+	owner.arranger.SetWorker(time.Now(), w)
 	owner.confirmBatch(owner.nextBatch())
 	for _, start := range starts {
 		if owner.arranger.Occupied(start.Worker) {
@@ -217,7 +217,7 @@
 	base := newFleetTerm(t, now, 1)
 	owner := newTerm(base.Director, registrar.Lease{Epoch: 2, WorkersRecorded: true}, 9, base.now())
 	info := arranger.Worker{ID: "w1", Service: "s", Capacity: arranger.Resources{Accelerators: 8}}
-	owner.arranger.SetWorker(info)
+	owner.arranger.SetWorker(time.Now(), info)
 	owner.arranger.HandleReport(now, arranger.Report{Worker: "w1", RequestedAt: now})
 	owner.arranger.ExpectReport("w2", now.Add(10*time.Second))
 	const id = "aaaaaaaaaaaaaaaa"
