platform: Reject odd entries of the worker list

Reported by other operators; it could happen here: a start time beyond the range of an integer, or far in the future, under the ID of a worker at work made the owner take the worker for restarted. It requeued the tasks that were still running there, and all later true entries looked old, so that the worker was never used again. Go leaves the conversion of a number out of range to the processor, so arm64 and x86-64 differ.

An ignored entry under the ID of a worker at work keeps new tasks away until the next valid one; its runs go on.

Not covered: an entry with a plausible start later than the true one cannot be told from a restart.

--- a/director/fleet.go
+++ b/director/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -19,6 +20,8 @@
 	listFeedTimeout = 800 * time.Millisecond
 	// listBatchDelay is the delay before the next feed request, so that one response holds several changes.
 	listBatchDelay = 40 * time.Millisecond
+	// maxClockSkew is how far the start of a worker may lie in the future; after an entry with a later one, all true entries would look old.
+	maxClockSkew = time.Hour
 )
 
 // followWorkers applies the changes that are made to the platform's list of workers after version from.
@@ -103,8 +106,11 @@
 // applyWorkerRow applies a row of the list and reports whether it describes a worker; the caller holds the term's mutex.
 func (t *term) applyWorkerRow(row platform.Row) bool {
 	w, err := platform.DecodeWorker(row.Key, row.Value)
+	if err == nil && w.Incarnation > time.Now().Add(maxClockSkew).UnixMilli() {
+		err = fmt.Errorf("%w: it starts in the future, at %d", platform.ErrInvalidWorker, w.Incarnation)
+	}
 	if err != nil {
-		t.Logger.Debug("entry of the worker list ignored", "worker", row.Key, "error", err.Error())
+		t.Logger.Warn("entry of the worker list ignored", "worker", row.Key, "row", row.Version, "error", err.Error())
 		return false
 	}
 	t.listed[w.ID] = w
