director: Withdraw starts on workers whose capacity has shrunk

Starts that wait for their record were sent up to 5 s after the decision, whatever the capacity had become.

All other starts are checked against the current capacity when they are decided, with the runs that are being stopped.

--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -153,3 +153,9 @@
 	w := a.workers[id]
 	return w != nil && (len(w.places) > 0 || len(w.orphans) > 0)
 }
+
+// Overcommitted reports whether the ordered runs need more than the worker's capacity, which may shrink while they are there.
+func (a *Arranger) Overcommitted(id string) bool {
+	w := a.workers[id]
+	return w != nil && !w.Capacity.Covers(w.inUse())
+}
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -129,7 +129,7 @@
 	unwanted := gangsWithout(orders, t.isWanted)
 	for _, order := range orders {
 		if unwanted[gangOf(order)] || !t.isWanted(order) {
-			t.withdraw(order, "worker drains or run is stopped")
+			t.withdraw(order, "worker drains or has shrunk, or run is stopped")
 			continue
 		}
 		t.sendStart(ctx, order)
@@ -144,7 +144,7 @@
 // isWanted reports whether the start is still to be sent.
 func (t *term) isWanted(order arranger.StartOrder) bool {
 	w, known := t.arranger.Worker(order.Worker)
-	return known && !w.Draining && t.arranger.IsStarting(order.Task, order.Run)
+	return known && !w.Draining && !t.arranger.Overcommitted(order.Worker) && t.arranger.IsStarting(order.Task, order.Run)
 }
 
 // withdraw releases the place of a start that has not been sent.
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -46,6 +46,11 @@
 			w.Draining = true
 			owner.arranger.SetWorker(time.Now(), w)
 		}},
+		{"capacity shrinks", func(owner *term, start arranger.StartOrder) {
+			w, _ := owner.arranger.Worker(start.Worker)
+			w.Capacity = arranger.Resources{}
+			owner.arranger.SetWorker(time.Now(), w)
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			owner, start := newUnsentTerm(t)
