director: Let the wait for a silent worker go on across owners

Cause: only the owner that granted the leases of a worker knew when they end. The next one assumed the latest possible end.

Change: the owner records the end of a silent worker's leases with the list of known workers, on the store's steady clock, which comes with each response; a new owner that finds a worker silent records the end that it assumes, for the one after it. Before the worker is granted another lease, the record is removed.

Evidence: both cases of TestTheWaitForASilentWorkerGoesOnAcrossOwners failed before. TestALeaseIsNotGrantedWhileTheStoreHoldsItsEnd fails if leases are granted at once (the task runs twice).

--- a/director/fleet.go
+++ b/director/fleet.go
@@ -187,7 +187,9 @@
 	for id, s := range t.sessions {
 		shard := registrar.WorkerShard(id)
 		if _, wanted := members[shard]; wanted && !s.drained {
-			members[shard] = append(members[shard], registrar.KnownWorker{ID: id, Address: s.worker.Address, Incarnation: s.worker.Incarnation})
+			members[shard] = append(members[shard], registrar.KnownWorker{
+				ID: id, Address: s.worker.Address, Incarnation: s.worker.Incarnation, LeaseEndMillis: s.leaseEnd.Milliseconds(),
+			})
 		}
 	}
 	rows := make([]platform.Row, 0, len(shards))
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -184,10 +185,10 @@
 	s.t.Fatalf("job %s shows %s, want %s after %s", id, body, state, timeout)
 }
 
-// other returns an entry VM other than the given one.
-func (s *service) other(than *entry) *entry {
+// other returns an entry VM other than the given ones.
+func (s *service) other(than ...*entry) *entry {
 	for _, e := range s.entries {
-		if e != than {
+		if !slices.Contains(than, e) {
 			return e
 		}
 	}
--- a/director/load.go
+++ b/director/load.go
@@ -108,7 +108,7 @@
 	defer t.mu.Unlock()
 	t.applyConfig()
 	recorded := t.decodeProgress(progress.Rows)
-	t.restoreWorkers(known.Rows, listed.Rows)
+	t.restoreWorkers(known, listed.Rows)
 	t.applyJobRows(jobs.rows, recorded)
 	t.loaded = true
 	for id, p := range recorded {
--- a/director/session.go
+++ b/director/session.go
@@ -45,6 +45,12 @@
 	// drained means that the worker is draining, runs nothing and will get no tasks, so that the next owner need not poll it.
 	drained  bool
 	failures int
+	// grantedAt is when the latest lease was granted.
+	grantedAt time.Duration
+	// leaseEnd is the reading of the store's clock at which all leases of a silent worker have expired, as it is recorded or about to be; 0 for one that responds.
+	leaseEnd time.Duration
+	// clearedChange is the writer's change number from which the store no longer holds a leaseEnd.
+	clearedChange uint64
 }
 
 // openSession starts a session with a worker unless there is one with this incarnation; the caller holds the term's mutex.
@@ -57,7 +63,8 @@
 		}
 		t.closeSession(s, "worker restarted", t.removeRestarted)
 	}
-	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
+	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true, clearedChange: t.uncleared[info.ID]}
+	delete(t.uncleared, info.ID)
 	t.sessions[info.ID] = s
 	// The session can be closed before its goroutine runs.
 	ctx := t.context(s)
@@ -82,6 +89,9 @@
 	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Incarnation, "reason", reason)
 	s.cancel()
 	t.markWorkerDirty(s.worker.ID)
+	if !s.mayGrant() {
+		t.uncleared[s.worker.ID] = t.writer.markJobsDirty(nil)
+	}
 	t.requestPlan()
 }
 
@@ -100,6 +110,7 @@
 func (s *session) extendLease() time.Duration {
 	until := s.estimateClock() + s.term.leaseDuration()
 	s.leaseUntil = max(s.leaseUntil, until)
+	s.grantedAt = s.term.now()
 	return until
 }
 
@@ -108,8 +119,20 @@
 	if !s.responded {
 		return false
 	}
-	remaining := time.Duration(float64(s.leaseUntil-s.workerClock)*clockDriftFactor) + leaseExpiryMargin
-	return s.term.now()-s.respondedAt >= remaining
+	return s.term.now() >= s.leaseExpiry()
+}
+
+// leaseExpiry returns the local time at which all leases granted to a worker that has responded have expired for certain.
+func (s *session) leaseExpiry() time.Duration {
+	return s.respondedAt + time.Duration(float64(s.leaseUntil-s.workerClock)*clockDriftFactor) + leaseExpiryMargin
+}
+
+// silent reports whether the worker's lease is no longer renewed.
+func (s *session) silent() bool { return s.failures >= maxUnansweredPolls }
+
+// mayGrant reports whether a lease may be granted: not while the store may hold the end of the latest one for the next owner.
+func (s *session) mayGrant() bool {
+	return s.leaseEnd == 0 && (s.clearedChange == 0 || s.term.writer.isRecorded(s.clearedChange))
 }
 
 // run polls the worker, which renews its lease, and handles its reports until the session ends.
@@ -147,7 +170,7 @@
 	if !s.responded {
 		return request, true
 	}
-	if s.failures < maxUnansweredPolls {
+	if !s.silent() && s.mayGrant() {
 		request.LeaseUntil = s.extendLease()
 	}
 	if s.failures == 0 && s.lastRecorded == s.lastEnded {
@@ -180,6 +203,7 @@
 		t.Logger.Info("worker reachable again", "worker", s.worker.ID, "failures", s.failures)
 	}
 	s.workerClock, s.respondedAt, s.responded, s.failures = received.Clock, t.now(), true, 0
+	s.clearLeaseEnd()
 	report := arranger.Report{Worker: s.worker.ID, RequestedAt: requestedAt}
 	for _, r := range received.Running {
 		report.Running = append(report.Running, arranger.RunReport{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent})
@@ -204,6 +228,17 @@
 	return s.lastRecorded < s.lastEnded
 }
 
+// clearLeaseEnd schedules the removal of the recorded end of the worker's leases; the caller holds the term's mutex.
+func (s *session) clearLeaseEnd() {
+	if s.leaseEnd == 0 {
+		return
+	}
+	s.term.Logger.Info("worker heard again, removing the recorded end of its leases", "worker", s.worker.ID, "leaseEnd", s.leaseEnd.String())
+	s.leaseEnd = 0
+	s.term.markWorkerDirty(s.worker.ID)
+	s.clearedChange = s.term.writer.markJobsDirty(nil)
+}
+
 // setDrained sets whether the worker is drained, and records the change for the next owner; the caller holds the term's mutex.
 func (s *session) setDrained(drained bool) {
 	if s.drained == drained {
--- a/director/silent_test.go
+++ b/director/silent_test.go
@@ -111,3 +111,66 @@
 		s.await(e, jobA, "succeeded", 3*time.Second)
 	})
 }
+
+// Each new owner waited anew for a worker that had been silent for long.
+func TestTheWaitForASilentWorkerGoesOnAcrossOwners(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// alone is how long the first owner knows of the silence before it is lost.
+		alone time.Duration
+		// limit is the time after the loss of the last owner in which the job has to be done: the rest of the lease, a takeover and the work.
+		limit time.Duration
+	}{
+		{"known to the first owner", 6 * time.Second, 9 * time.Second},
+		{"known to the second owner", 0, 15 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runService(t, 4, 2, func(s *service) {
+				first := s.owner()
+				s.submit(first, jobA, faker.TaskJob{Duration: time.Second, Accelerators: 8}, 1)
+				s.await(first, jobA, "running", time.Second)
+				for _, w := range s.workers {
+					if s.fleet.RunsOn(w) {
+						w.SetSilent(true)
+					}
+				}
+				time.Sleep(test.alone)
+				s.board.Isolate(first.name, true)
+				time.Sleep(5 * time.Second)
+				second := s.owner()
+				s.board.Isolate(second.name, true)
+				s.await(s.other(first, second), jobA, "succeeded", test.limit)
+				s.board.Isolate(first.name, false)
+				s.board.Isolate(second.name, false)
+				time.Sleep(recoveryTime)
+			})
+		})
+	}
+}
+
+// A worker that is heard again may be granted no lease before the record of its end is gone: the next owner would start its tasks elsewhere
+// while they run.
+func TestALeaseIsNotGrantedWhileTheStoreHoldsItsEnd(t *testing.T) {
+	runService(t, 3, 2, func(s *service) {
+		first := s.owner()
+		s.submit(first, jobA, faker.TaskJob{Duration: 20 * time.Second, Accelerators: 8}, 1)
+		s.await(first, jobA, "running", time.Second)
+		running := s.workers[0]
+		if !s.fleet.RunsOn(running) {
+			running = s.workers[1]
+		}
+		running.SetSilent(true)
+		time.Sleep(6 * time.Second)
+		running.SetSilent(false)
+		time.Sleep(1500 * time.Millisecond)
+		running.SetSilent(true)
+		s.board.Isolate(first.name, true)
+		// The service's check finds a task that runs twice.
+		time.Sleep(18 * time.Second)
+		if got := s.fleet.Starts(jobA); got != 2 {
+			t.Errorf("%d starts, want one elsewhere once the leases have expired", got)
+		}
+		s.board.Isolate(first.name, false)
+		time.Sleep(recoveryTime)
+	})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -44,6 +44,8 @@
 	mu       sync.Mutex
 	arranger *arranger.Arranger
 	sessions map[string]*session
+	// uncleared are the writer's change numbers from which the store no longer holds the end of the leases of workers whose session was closed, by ID.
+	uncleared map[string]uint64
 	// listed are the workers on the platform's list, by ID.
 	listed map[string]platform.Worker
 	// inheritedVersion is the version of the store up to which a previous owner may have read jobs.
@@ -61,6 +63,8 @@
 	unsent map[string][]unsentStart
 	// recorded are the workers in the progress rows that this owner has written, by job.
 	recorded map[string]recordedWorkers
+	// inheritedLeaseEnd is the reading of the store's clock at which all leases granted by previous owners have expired, or 0 if that clock is not known.
+	inheritedLeaseEnd time.Duration
 	// loaded means that the state of the previous owner has been loaded.
 	loaded bool
 	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended.
@@ -76,7 +80,7 @@
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version,
-		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
+		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, uncleared: map[string]uint64{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
 	}
 	t.arranger = arranger.New(arranger.Options{
@@ -129,11 +133,15 @@
 func (t *term) maySendRequests() bool { return t.now()-t.writer.renewedAt() < maxRenewalAge }
 
 // restoreWorkers opens sessions with the workers that a previous owner recorded and with those on the platform's list, and expects reports from all that may run tasks of a previous owner.
-func (t *term) restoreWorkers(knownRows, listedRows []platform.Row) {
-	expired := time.Now().Add(t.maxInheritedLease())
+func (t *term) restoreWorkers(known platform.Page, listedRows []platform.Row) {
+	inheritedLease := t.maxInheritedLease()
+	if known.StoreTime > 0 {
+		t.inheritedLeaseEnd = known.StoreTime + inheritedLease
+	}
+	expired := time.Now().Add(inheritedLease)
 	recorded := map[string]bool{}
 	var speeds []platform.Row
-	for _, row := range knownRows {
+	for _, row := range known.Rows {
 		if row.Key == registrar.SpeedsKey {
 			speeds = append(speeds, row)
 			continue
@@ -148,6 +156,7 @@
 			info := arranger.Worker{ID: w.ID, Address: w.Address, Incarnation: w.Incarnation, Draining: true}
 			recorded[w.ID] = true
 			t.openSession(info)
+			t.sessions[w.ID].leaseEnd = time.Duration(w.LeaseEndMillis) * time.Millisecond
 			t.arranger.SetWorker(time.Now(), info)
 		}
 	}
@@ -158,8 +167,38 @@
 	for id, s := range t.sessions {
 		// A new worker may have been sent tasks before it was recorded; a draining one without a record had been drained.
 		if recorded[id] || !s.worker.Draining {
-			t.arranger.ExpectReport(id, expired)
+			t.arranger.ExpectReport(id, earlierEnd(expired, s.leaseEnd, known.StoreTime))
+		}
+	}
+}
+
+// earlierEnd returns the earlier of the time expired and of that at which the store's clock, which shows storeTime now, reaches leaseEnd; both are 0 if they are not known.
+func earlierEnd(expired time.Time, leaseEnd, storeTime time.Duration) time.Time {
+	if leaseEnd == 0 || storeTime == 0 {
+		return expired
+	}
+	return earliest(expired, time.Now().Add(leaseEnd-storeTime))
+}
+
+// recordSilentWorkers records when the leases of silent workers end, for the next owner. The store's clock showed storeTime or
+// less when a request was sent at sentAt; the caller holds the term's mutex.
+func (t *term) recordSilentWorkers(sentAt, storeTime time.Duration) {
+	if storeTime == 0 {
+		return
+	}
+	for _, s := range t.sessions {
+		switch {
+		case !s.silent() || s.leaseEnd != 0 || s.grantedAt >= sentAt:
+			continue
+		case s.responded:
+			s.leaseEnd = storeTime + max(0, s.leaseExpiry()-sentAt)
+		case t.loaded && t.inheritedLeaseEnd != 0:
+			s.leaseEnd = t.inheritedLeaseEnd
+		default:
+			continue
 		}
+		t.Logger.Info("recording the end of a silent worker's leases", "worker", s.worker.ID, "failures", s.failures, "left", (s.leaseEnd - storeTime).String())
+		t.markWorkerDirty(s.worker.ID)
 	}
 }
 
--- a/director/writer.go
+++ b/director/writer.go
@@ -173,12 +173,15 @@
 		t.confirmBatch(b)
 		return false
 	}
-	err := t.writeBatch(ctx, b)
+	storeTime, err := t.writeBatch(ctx, b)
 	switch {
 	case err == nil:
 		t.lease.WorkersRecorded = t.lease.WorkersRecorded || b.workersRecorded
 		t.writer.lastRenewal.Store(int64(sent))
 		t.confirmBatch(b)
+		t.mu.Lock()
+		t.recordSilentWorkers(sent, storeTime)
+		t.mu.Unlock()
 		return !b.complete
 	case errors.Is(err, errLeaseLost):
 		t.Logger.Warn("lease lost", "epoch", t.lease.Epoch)
@@ -224,8 +227,8 @@
 	return platform.Row{Table: registrar.LeaseTable, Partition: registrar.OwnerPartition, Key: registrar.LeaseKey, Version: t.writer.leaseVersion}
 }
 
-// writeBatch writes a batch and renews the lease in one transaction, which fails if the lease has changed; after a conflict or an unknown outcome it determines from the lease row whether the batch was written.
-func (t *term) writeBatch(ctx context.Context, b batch) error {
+// writeBatch writes a batch and renews the lease in one transaction, which fails if the lease has changed; after a conflict or an unknown outcome it determines from the lease row whether the batch was written. It returns the store's time, or 0 if that is not known.
+func (t *term) writeBatch(ctx context.Context, b batch) (time.Duration, error) {
 	t.lease.Renewal++
 	expected := t.leaseRow()
 	renewed := expected
@@ -240,18 +243,18 @@
 	switch {
 	case err == nil:
 		t.writer.leaseVersion = outcome.Version
-		return nil
+		return outcome.StoreTime, nil
 	case errors.Is(err, platform.ErrConflict):
 		for _, row := range outcome.Rows {
 			if row.Key == registrar.LeaseKey {
-				return t.adoptLeaseVersion(row)
+				return 0, t.adoptLeaseVersion(row)
 			}
 		}
-		return t.rereadLease(ctx)
+		return 0, t.rereadLease(ctx)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		return t.rereadLease(ctx)
+		return 0, t.rereadLease(ctx)
 	default:
-		return err
+		return 0, err
 	}
 }
 
@@ -498,7 +501,7 @@
 	t.lease.Released = true
 	for range 3 {
 		b := t.nextBatch()
-		err := t.writeBatch(ctx, b)
+		_, err := t.writeBatch(ctx, b)
 		if err == nil && b.complete {
 			t.Logger.Info("lease released", "epoch", t.lease.Epoch)
 			return
--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -27,6 +27,8 @@
 	changed  chan struct{}
 	faults   RowFaults
 	requests int
+	// startedAt is the zero of the store's steady clock.
+	startedAt time.Time
 }
 
 // RowFaults are the faults that a row store injects; the zero value injects none.
@@ -67,7 +69,7 @@
 
 // NewRowStore returns an empty store.
 func NewRowStore() *RowStore {
-	return &RowStore{rows: map[rowKey]storedRow{}, changed: make(chan struct{})}
+	return &RowStore{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), startedAt: time.Now()}
 }
 
 // SetFaults replaces the current faults.
@@ -198,6 +200,13 @@
 	Ver        int64       `json:"ver"`
 	HasMore    bool        `json:"hasMore"`
 	Partitions []string    `json:"parts,omitempty"`
+	NowMs      int64       `json:"nowMs"`
+}
+
+// newResponse returns a response without rows; the caller holds the lock.
+func (s *RowStore) newResponse() rowResponse {
+	// A clock that shows 0 would look like none.
+	return rowResponse{Ver: s.version, NowMs: 1 + time.Since(s.startedAt).Milliseconds()}
 }
 
 func (s *RowStore) transact(t rowTransaction) (int, rowResponse) {
@@ -205,7 +214,7 @@
 	defer s.mu.Unlock()
 	partitions := map[string]bool{}
 	conditionsHold := true
-	response := rowResponse{Ver: s.version}
+	response := s.newResponse()
 	for _, e := range t.ExpectRev {
 		partitions[e.Partition] = true
 		current := s.rows[rowKey{e.Table, e.Partition, e.Key}]
@@ -241,13 +250,13 @@
 		s.store(row)
 	}
 	s.notifyFeeds()
-	return http.StatusOK, rowResponse{Ver: s.version}
+	return http.StatusOK, s.newResponse()
 }
 
 func (s *RowStore) serveRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
-	response := rowResponse{Ver: s.version}
+	response := s.newResponse()
 	for k, row := range s.rows {
 		if k.table == q.Get("table") && k.partition == q.Get("part") && k.key >= q.Get("from") && (q.Get("target") == "" || k.key < q.Get("target")) {
 			response.Rows = append(response.Rows, row)
@@ -328,7 +337,7 @@
 	if after < s.compactedVersion {
 		return rowResponse{}, true
 	}
-	response := rowResponse{Ver: s.version}
+	response := s.newResponse()
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Ver > after })
 	for _, row := range s.history[first:] {
 		if row.Table == table {
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -99,6 +99,13 @@
 	return f.starts[job]
 }
 
+// RunsOn reports whether the worker runs tasks.
+func (f *TaskFleet) RunsOn(w *TaskWorker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(w.runs) > 0
+}
+
 // taskRun is a run on a worker.
 type taskRun struct {
 	name         string
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -126,6 +126,9 @@
 	ID          string `json:"id"`
 	Address     string `json:"address"`
 	Incarnation int64  `json:"born"`
+	// LeaseEndMillis is the reading of the store's steady clock at which all leases granted to a silent worker have expired, or 0. The owner
+	// removes it before it grants another lease.
+	LeaseEndMillis int64 `json:"leaseEnd,omitempty"`
 }
 
 // WorkerSpeed is the rated speed of an incarnation of a worker.
