director: Confirm that a recorded lease end is gone by its own row

Found by reading: a worker that was heard again got no lease before a complete batch was written, and batches are incomplete for as long as the store rejects any row. Its runs would have lapsed. The written shard of the list of workers is looked at instead.

--- a/director/session.go
+++ b/director/session.go
@@ -49,8 +49,6 @@
 	grantedAt time.Duration
 	// leaseEnd is the reading of the store's clock at which all leases of a silent worker have expired, as it is recorded or about to be; 0 for one that responds.
 	leaseEnd time.Duration
-	// clearedChange is the writer's change number from which the store no longer holds a leaseEnd.
-	clearedChange uint64
 }
 
 // openSession starts a session with a worker unless there is one with this incarnation; the caller holds the term's mutex.
@@ -63,8 +61,7 @@
 		}
 		t.closeSession(s, "worker restarted", t.removeRestarted)
 	}
-	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true, clearedChange: t.uncleared[info.ID]}
-	delete(t.uncleared, info.ID)
+	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
 	t.sessions[info.ID] = s
 	// The session can be closed before its goroutine runs.
 	ctx := t.context(s)
@@ -89,8 +86,8 @@
 	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Incarnation, "reason", reason)
 	s.cancel()
 	t.markWorkerDirty(s.worker.ID)
-	if !s.mayGrant() {
-		t.uncleared[s.worker.ID] = t.writer.markJobsDirty(nil)
+	if s.leaseEnd != 0 {
+		t.uncleared[s.worker.ID] = true
 	}
 	t.requestPlan()
 }
@@ -130,9 +127,9 @@
 // silent reports whether the worker's lease is no longer renewed.
 func (s *session) silent() bool { return s.failures >= maxUnansweredPolls }
 
-// mayGrant reports whether a lease may be granted: not while the store may hold the end of the latest one for the next owner.
+// mayGrant reports whether a lease may be granted: not while the store may hold the end of the latest one for the next owner; the caller holds the term's mutex.
 func (s *session) mayGrant() bool {
-	return s.leaseEnd == 0 && (s.clearedChange == 0 || s.term.writer.isRecorded(s.clearedChange))
+	return s.leaseEnd == 0 && !s.term.uncleared[s.worker.ID]
 }
 
 // run polls the worker, which renews its lease, and handles its reports until the session ends.
@@ -235,8 +232,8 @@
 	}
 	s.term.Logger.Info("worker heard again, removing the recorded end of its leases", "worker", s.worker.ID, "leaseEnd", s.leaseEnd.String())
 	s.leaseEnd = 0
+	s.term.uncleared[s.worker.ID] = true
 	s.term.markWorkerDirty(s.worker.ID)
-	s.clearedChange = s.term.writer.markJobsDirty(nil)
 }
 
 // setDrained sets whether the worker is drained, and records the change for the next owner; the caller holds the term's mutex.
--- a/director/silent_test.go
+++ b/director/silent_test.go
@@ -174,3 +174,21 @@
 		time.Sleep(recoveryTime)
 	})
 }
+
+// A row that the store rejects delays the other rows of a job, but not the leases of workers that are heard again.
+func TestARejectedRowDoesNotKeepAWorkerWithoutLeases(t *testing.T) {
+	runService(t, 1, 1, func(s *service) {
+		e := s.entries[0]
+		s.submit(e, jobA, faker.TaskJob{Duration: 18 * time.Second, Accelerators: 4}, 1)
+		s.await(e, jobA, "running", time.Second)
+		s.workers[0].SetSilent(true)
+		time.Sleep(6 * time.Second)
+		s.store.SetFaults(faker.RowFaults{RejectRow: "progress/" + jobB})
+		s.submit(e, jobB, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
+		s.workers[0].SetSilent(false)
+		s.await(e, jobA, "succeeded", 14*time.Second)
+		if got := s.fleet.Starts(jobA); got != 1 {
+			t.Errorf("%d starts, want one", got)
+		}
+	})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -44,8 +45,8 @@
 	mu       sync.Mutex
 	arranger *arranger.Arranger
 	sessions map[string]*session
-	// uncleared are the writer's change numbers from which the store no longer holds the end of the leases of workers whose session was closed, by ID.
-	uncleared map[string]uint64
+	// uncleared are the IDs of workers whose leases may still have a recorded end in the store.
+	uncleared map[string]bool
 	// listed are the workers on the platform's list, by ID.
 	listed map[string]platform.Worker
 	// inheritedVersion is the version of the store up to which a previous owner may have read jobs.
@@ -80,7 +81,7 @@
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version,
-		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, uncleared: map[string]uint64{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
+		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
 	}
 	t.arranger = arranger.New(arranger.Options{
@@ -202,6 +203,25 @@
 	}
 }
 
+// confirmCleared notes the workers for which a written shard of the list of workers holds no end of leases; the caller holds the term's mutex.
+func (t *term) confirmCleared(row platform.Row) {
+	if len(t.uncleared) == 0 {
+		return
+	}
+	workers, err := registrar.Decode[[]registrar.KnownWorker](row)
+	if err != nil {
+		t.Logger.Error("written list of workers unreadable", "key", row.Key, "error", err.Error())
+		return
+	}
+	ended := map[string]bool{}
+	for _, w := range workers {
+		ended[w.ID] = w.LeaseEndMillis != 0
+	}
+	maps.DeleteFunc(t.uncleared, func(id string, _ bool) bool {
+		return registrar.WorkerShardRow(registrar.WorkerShard(id)).Key == row.Key && !ended[id]
+	})
+}
+
 // maxInheritedLease returns how long after the start of this term a lease granted by a previous owner may remain valid.
 func (t *term) maxInheritedLease() time.Duration {
 	// A previous owner grants leases until its last renewal is maxRenewalAge old, even if another VM has acquired its lease meanwhile.
--- a/director/writer.go
+++ b/director/writer.go
@@ -338,6 +338,7 @@
 		switch {
 		case bytes.Equal(row.Value, w.recordedShards[row.Key]):
 			delete(w.shards, shard)
+			t.confirmCleared(row)
 		case w.deferRejected(b, row.Key, t.now()):
 		case b.add(row, w.rowLimit()):
 			delete(w.shards, shard)
@@ -444,6 +445,11 @@
 	return progressRow{Row: row, workers: p.Workers}
 }
 
+// isWorkerShard reports whether the row is a shard of the list of known workers.
+func isWorkerShard(row platform.Row) bool {
+	return row.Table == registrar.FleetTable && row.Key != registrar.PendingKey && row.Key != registrar.SpeedsKey
+}
+
 // confirmBatch marks the content of a written batch as recorded.
 func (t *term) confirmBatch(b batch) {
 	w := &t.writer
@@ -455,7 +461,7 @@
 		w.pending = b.newPending
 	}
 	for _, row := range b.puts {
-		if row.Table == registrar.FleetTable && row.Key != registrar.PendingKey && row.Key != registrar.SpeedsKey {
+		if isWorkerShard(row) {
 			w.recordedShards[row.Key] = row.Value
 		}
 		delete(w.rejectedAt, row.Key)
@@ -465,6 +471,11 @@
 	for _, s := range t.sessions {
 		s.updateRecorded()
 	}
+	for _, row := range b.puts {
+		if isWorkerShard(row) {
+			t.confirmCleared(row)
+		}
+	}
 	t.confirmWrites(b.jobs)
 	t.sendRecorded(t.baseCtx, b)
 	t.mu.Unlock()
