follower: Count suspends of the VM in the age of the configuration

Found by reading: the age was measured on Go's monotonic clock, which stands still while a VM is suspended, so that the configuration looked as new after a suspend as before it and requests were decided by it until the next read. The clock since boot is used instead, as in the director.

TestAgeOfConfigurationIncludesSuspends needs the new field, so it does not compile on the code before.

--- a/director/clock.go
+++ b/director/clock.go
@@ -11,11 +11,11 @@
 	if d.Clock != nil {
 		return d.Clock()
 	}
-	return sinceBoot()
+	return SinceBoot()
 }
 
-// sinceBoot returns the time since boot, which includes suspends of the VM, unlike Go's monotonic clock.
-func sinceBoot() time.Duration {
+// SinceBoot returns the time since boot, which includes suspends of the VM, unlike Go's monotonic clock.
+func SinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		// Every Linux kernel since 2.6.39 has this clock.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -31,6 +31,8 @@
 	Logger *slog.Logger
 	// OnChange is called with each new configuration; it may be nil.
 	OnChange func(*Snapshot)
+	// Clock returns a monotonic time that includes suspends of the VM; nil means the wall clock.
+	Clock func() time.Duration
 
 	current          atomic.Pointer[Snapshot]
 	storeUnavailable atomic.Bool
@@ -43,7 +45,7 @@
 // knowledge is the result of a successful read.
 type knowledge struct {
 	// at is a time at which the current configuration was the newest one.
-	at time.Time
+	at time.Duration
 	// replaced is closed by the next successful read.
 	replaced chan struct{}
 }
@@ -54,7 +56,7 @@
 	if known == nil {
 		return 0, false
 	}
-	return time.Since(known.at), true
+	return f.now() - known.at, true
 }
 
 // Await waits until the current configuration is known to have been the newest one within maxAge, and reports whether it is.
@@ -64,7 +66,7 @@
 		if known == nil {
 			return false
 		}
-		if time.Since(known.at) <= maxAge {
+		if f.now()-known.at <= maxAge {
 			return true
 		}
 		select {
@@ -75,8 +77,15 @@
 	}
 }
 
+func (f *Follower) now() time.Duration {
+	if f.Clock != nil {
+		return f.Clock()
+	}
+	return time.Duration(time.Now().UnixNano())
+}
+
 // recordKnown records that the current configuration was the newest one at a time.
-func (f *Follower) recordKnown(at time.Time) {
+func (f *Follower) recordKnown(at time.Duration) {
 	if previous := f.known.Swap(&knowledge{at: at, replaced: make(chan struct{})}); previous != nil {
 		close(previous.replaced)
 	}
@@ -161,7 +170,7 @@
 
 // read loads the current configuration and returns the version from which to follow the feed.
 func (f *Follower) read(ctx context.Context) (int64, error) {
-	start := time.Now()
+	start := f.now()
 	page, err := f.Store.Range(ctx, platform.OperatorTable, "", "", "")
 	if err != nil {
 		return -1, err
@@ -177,7 +186,7 @@
 		// After a pause of the process or of the store, requests may wait for the response.
 		wait = 0
 	}
-	start := time.Now()
+	start := f.now()
 	page, err := f.Store.Feed(ctx, platform.OperatorTable, version, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		f.Logger.Info("configuration history no longer kept; reloading", "version", version)
@@ -191,9 +200,9 @@
 		return version, err
 	}
 	f.applyRows(page, start)
-	if len(page.Rows) == 0 && time.Since(start) >= wait {
+	if len(page.Rows) == 0 && f.now()-start >= wait {
 		// The store found no change during the whole wait.
-		start = start.Add(wait)
+		start += wait
 	}
 	f.recordKnown(start)
 	return max(version, page.Version), nil
@@ -231,7 +240,7 @@
 }
 
 // applyRows puts the newest configuration of a page into force; the page was requested at start.
-func (f *Follower) applyRows(page platform.Page, start time.Time) {
+func (f *Follower) applyRows(page platform.Page, start time.Duration) {
 	for _, r := range page.Rows {
 		if r.Key != platform.ConfigKey || r.Deleted {
 			continue
@@ -248,7 +257,7 @@
 		s := newSnapshot(c)
 		f.current.Store(s)
 		f.Logger.Info("configuration in force", "version", c.Version, "row", r.Version, "queues", len(c.Queues), "organisations", len(c.Organisations),
-			"bytes", page.Bytes, "took", time.Since(start).Truncate(time.Millisecond).String())
+			"bytes", page.Bytes, "took", (f.now() - start).Truncate(time.Millisecond).String())
 		if f.OnChange != nil {
 			f.OnChange(s)
 		}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -127,3 +128,23 @@
 		w.expectVersion(t, "after a feed that breaks off", 2)
 	})
 }
+
+// After a suspend of the VM the configuration looked as new as before it.
+func TestAgeOfConfigurationIncludesSuspends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.publish(1, 1)
+		var suspended time.Duration
+		began := time.Now()
+		w.follower.Clock = func() time.Duration { return time.Since(began) + suspended }
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.follower.Run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		suspended = time.Minute
+		if age, known := w.follower.Age(); !known || age < time.Minute {
+			t.Errorf("age %v, %t after a minute", age, known)
+		}
+	})
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -72,7 +72,7 @@
 	defer stopRelay()
 	store := &platform.Store{Client: &http.Client{Transport: p.relay}, Address: p.Settings.StoreAddress, Timeout: storeTimeout, Observe: metrics.observeStoreRequest}
 	p.store = store
-	p.config = &follower.Follower{Store: store, Logger: p.Logger}
+	p.config = &follower.Follower{Store: store, Logger: p.Logger, Clock: director.SinceBoot}
 	metrics.registerConfig(p.config)
 	p.accept = acceptor.New(store, p.config, p.Logger)
 	p.accept.ConfigDeadline, p.accept.ConfigStretch = p.Settings.Bounds.ConfigDeadline, p.Settings.Bounds.ConfigStretch
