--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -99,6 +99,19 @@
 	return f.starts[job]
 }
 
+// Crashes returns the largest number of workers that one task of the job has crashed.
+func (f *TaskFleet) Crashes(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for task, count := range f.crashes {
+		if jobOfTask(task) == job {
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
 // RunsOn reports whether the worker runs tasks.
 func (f *TaskFleet) RunsOn(w *TaskWorker) bool {
 	f.mu.Lock()
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -18,6 +18,9 @@
 	accepted
 )
 
+// minCrashes is the number of workers that a task has to crash before its job may be given up.
+const minCrashes = 2
+
 // maxAsked is the number of entries that are asked for the state of a job.
 const maxAsked = 3
 
@@ -37,6 +40,9 @@
 		if s.chance(2) {
 			job.Gang = count
 		}
+		if s.chance(12) {
+			job.CrashAfter = 10 * time.Millisecond
+		}
 		return job, count, false
 	}
 	job := faker.TaskJob{Duration: time.Duration(1000+s.random.IntN(6000)) * time.Millisecond, Accelerators: 1}
@@ -139,7 +145,7 @@
 	var body string
 	for until := time.Now().Add(completionTimeout); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		_, body = s.randomEntry().call(http.MethodGet, path, "")
-		if strings.Contains(body, "succeeded") || strings.Contains(body, "failed") && s.fleet.Failures(id) >= maxAttempts {
+		if strings.Contains(body, "succeeded") || strings.Contains(body, "failed") && (s.fleet.Failures(id) >= maxAttempts || s.fleet.Crashes(id) >= minCrashes) {
 			return
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -141,6 +142,42 @@
 	if s.large() && s.chance(2) {
 		s.workerFault()
 	}
+	if s.chance(6) {
+		s.disturb()
+	}
+}
+
+// maxQueues is the number of queues beside those of the traffic up to which the configuration grows.
+const maxQueues = 4000
+
+// disturb crashes a worker, writes an odd entry into the list of workers, or changes the configuration.
+func (s *soak) disturb() {
+	i := s.random.IntN(len(s.workers))
+	switch s.random.IntN(3) {
+	case 0:
+		s.workers[i].Crash()
+	case 1:
+		odd := s.workers[i].Describe("tabulator", s.addresses[i], s.racks[i])
+		switch s.random.IntN(4) {
+		case 0:
+			odd["born"] = 1e300
+		case 1:
+			odd["addr"] = "127.0.0.1:99999"
+		case 2:
+			odd["capacity"] = map[string]any{"cpu": -1e300, "memMb": 1e300, "gpu": "eight"}
+		default:
+			odd["labels"] = json.RawMessage(strings.Repeat("[", 9000) + strings.Repeat("]", 9000))
+		}
+		s.store.Put("servers", "odd", odd)
+		s.store.Put("servers", s.workers[i].ID, odd)
+		// The worker's next heartbeat replaces the entry.
+		s.clients.Go(func() {
+			time.Sleep(time.Second)
+			s.register(i)
+		})
+	default:
+		s.publish(s.random.IntN(maxQueues))
+	}
 }
 
 // traffic waits a random time and submits what is due after it.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -44,6 +45,8 @@
 	workerProxies []*proxy
 	entries       []*entry
 	storeAddress  string
+	// version is that of the latest configuration.
+	version int
 }
 
 // entry is an entry VM with its process, which can be restarted after it has exited.
@@ -62,19 +65,8 @@
 func newCluster(t *testing.T, program string, entries int) *cluster {
 	t.Helper()
 	w := &cluster{t: t, program: program, store: faker.NewRowStore(), fleet: faker.NewTaskFleet(), faulty: map[int]bool{}}
-	var routes []any
-	for i := range queues {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("lookups%d", i), "host": "a.example", "prefix": fmt.Sprintf("/l%d/", i), "service": "tabulator",
-			"priority": i, "maxAttempts": maxAttempts, "stretch": 1.5, "sloMs": 250,
-		})
-	}
-	w.store.Put("op", "config", map[string]any{
-		"version":  1,
-		"routes":   routes,
-		"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
-		"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": *workers * accelerators / 4}}},
-	})
+	w.fleet.OnReturn = func(worker *faker.TaskWorker) { w.register(slices.Index(w.workers, worker)) }
+	w.publish(0)
 	workersPerRack := 4
 	if *workers >= largeFleet {
 		workersPerRack = 12
@@ -107,6 +99,24 @@
 	return w
 }
 
+// publish writes the next version of the configuration, with the given number of queues beside those of the traffic.
+func (w *cluster) publish(others int) {
+	var routes []any
+	for i := range queues + others {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("lookups%d", i), "host": "a.example", "prefix": fmt.Sprintf("/l%d/", i), "service": "tabulator",
+			"priority": i % queues, "maxAttempts": maxAttempts, "stretch": 1.5, "sloMs": 250,
+		})
+	}
+	w.version++
+	w.store.Put("op", "config", map[string]any{
+		"version":  w.version,
+		"routes":   routes,
+		"services": []any{map[string]any{"name": "tabulator", "admissionCheck": true}},
+		"tenants":  []any{map[string]any{"name": "unions", "apiKeys": []string{"key"}, "guaranteed": map[string]int{"gpu": *workers * accelerators / 4}}},
+	})
+}
+
 // register writes the row of a worker, as its incarnation does after its start.
 func (w *cluster) register(i int) {
 	w.store.Put("servers", w.workers[i].ID, w.workers[i].Describe("tabulator", w.addresses[i], w.racks[i]))
@@ -152,7 +162,7 @@
 		"listen":   map[string]any{"front": e.clientAddress, "ready": fmt.Sprintf("%s:%d", ip, port+1)},
 		"platform": map[string]any{"addr": e.storeProxy.address()},
 		"limits":   map[string]any{"cpuShare": 1, "cores": 1},
-		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": remoteFactor, "restoreMs": 100, "reclaimMs": 3000},
+		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": remoteFactor, "restoreMs": 100, "reclaimMs": 3000, "configApplyMs": 3000, "maxStretchMs": 5000},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
