arranger: Suspect no task of a loss that many workers share

Change: if a twentieth of the fleet is lost within a second with nothing but proven runs, only tasks started within 0.3 s or with two earlier crashes are suspected; suspected tasks avoid workers that came back within 15 s; an inherited crash counts once for a task, and not if many workers have restarted; a run of 10 s clears its task. Three crashes are enough then, whoever else was suspected.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -36,6 +36,8 @@
 	// the ID of the worker.
 	silentLosses map[string]silentLoss
 	trials       map[string][]*task
+	// losses are the recent losses of contact with workers.
+	losses []workerLoss
 	// inheritedCrashes holds the workers that have restarted before they reported to this owner.
 	inheritedCrashes map[string]Trial
 	claims           [][]*place
--- a/arranger/crash.go
+++ b/arranger/crash.go
@@ -14,11 +14,25 @@
 // with it, so that a further crash tells which of them is the cause.
 
 const (
-	// maxCrashes is the number of workers that may crash under suspected runs of a task before its job fails;
-	// minCrashes of them suffice if the task was suspected alone in aloneCrashes.
-	maxCrashes, minCrashes, aloneCrashes = 4, 3, 2
+	// maxCrashes is the number of workers that may crash under suspected runs of a task before its job fails.
+	maxCrashes = 3
+	// manyCrashes is the number of crashes from which on a task stays suspected in a loss of many workers.
+	manyCrashes = 2
+	// promptCrash is how soon after the start of a run its worker has to be lost for the run to stay suspected in a loss of many workers. Most runs
+	// that a crash with another cause ends have been there for longer.
+	promptCrash = 300 * time.Millisecond
+	// commonCauseWindow is the time on both sides of the loss of a worker in which the loss of commonCauseShare of the workers, and at least
+	// commonCauseWorkers, by no suspected run means that they have a common cause; losses are remembered for lossMemory.
+	commonCauseWindow, lossMemory        = time.Second, 30 * time.Second
+	commonCauseWorkers, commonCauseShare = 3, 0.05
+	// unstablePeriod is how long after its return a worker counts as unstable, and unstablePenalty is added to its misfit for suspected tasks, in
+	// accelerators.
+	unstablePeriod, unstablePenalty = 15 * time.Second, 16
 	// probation is how long a suspected task must run before others may start beside it.
 	probation = 3 * time.Second
+	// clearedAfter is how long a run of a suspected task must last for its crashes to be forgotten, so that coincidences do not add up over the life
+	// of a job.
+	clearedAfter = 10 * time.Second
 	// recentStart is the age up to which a reported run is suspected if the worker had no unreported one.
 	recentStart = 5 * time.Second
 	// silentMemory is how long the loss of a worker that did not answer is remembered, in case it turns out to have crashed.
@@ -41,7 +55,7 @@
 type silentLoss struct {
 	trial     Trial
 	address   string
-	suspects  []*task
+	suspects  []suspect
 	removedAt time.Time
 }
 
@@ -50,23 +64,7 @@
 
 // crashedOn reports whether the worker crashed under a suspected run of the task, in any of its incarnations.
 func (t *task) crashedOn(worker string) bool {
-	for crash := range t.crashes {
-		if strings.HasPrefix(crash, worker+"@") {
-			return true
-		}
-	}
-	return false
-}
-
-// exhausted reports whether enough workers have crashed under the task to give it up.
-func (t *task) exhausted() bool {
-	alone := 0
-	for _, wasAlone := range t.crashes {
-		if wasAlone {
-			alone++
-		}
-	}
-	return len(t.crashes) >= maxCrashes || len(t.crashes) >= minCrashes && alone >= aloneCrashes
+	return slices.ContainsFunc(t.crashes, func(crash string) bool { return strings.HasPrefix(crash, worker+"@") })
 }
 
 // proven reports whether the run has shown that it does not crash its worker at once.
@@ -74,6 +72,26 @@
 	return !p.requestedAt.IsZero() && (!p.task.suspected() || p.requestedAt.Sub(p.placedAt) >= probation)
 }
 
+// updateSuspicion applies a report of the run to the suspicion against its task; the run was not proven before if wasProven is false.
+func (a *Arranger) updateSuspicion(p *place, wasProven bool) {
+	t := p.task
+	if !t.suspected() {
+		return
+	}
+	if p.requestedAt.Sub(p.placedAt) >= clearedAfter {
+		a.options.Log("task no longer suspected", "task", t.label(), "run", p.run, "worker", p.worker.ID, "crashes", len(t.crashes))
+		t.crashes = nil
+		t.stage.suspects--
+		a.dirty[t.stage.job.ID] = true
+		return
+	}
+	if !wasProven && p.proven() {
+		// Others may start beside it, and the next owner need not find out about it.
+		a.changed = true
+		a.dirty[t.stage.job.ID] = true
+	}
+}
+
 // hasUnprovenOther reports whether a run or a claim of another job on the worker is not proven.
 func (w *worker) hasUnprovenOther(j *job) bool {
 	return slices.ContainsFunc(w.places, func(p *place) bool { return p.task.stage.job != j && !p.proven() })
@@ -97,6 +115,13 @@
 	})
 }
 
+// suspect is a task that may have crashed a worker.
+type suspect struct {
+	task *task
+	// prompt means that the worker was lost right after the start.
+	prompt bool
+}
+
 // WorkerRestarted removes a worker of which another incarnation has appeared, so that all runs on it are lost, and
 // suspects the runs that may have crashed it; wasSent reports whether the start of a run was sent to the worker.
 func (a *Arranger) WorkerRestarted(now time.Time, id, reason string, wasSent func(name TaskName, run int64) bool) {
@@ -105,10 +130,20 @@
 		return
 	}
 	crash := Trial{Worker: id, Incarnation: w.Incarnation}
-	suspects := w.crashSuspects(wasSent)
+	lostAt := now
+	if w.reachable {
+		a.recordLoss(now, w)
+	} else if !w.lostContactAt.IsZero() {
+		lostAt = w.lostContactAt
+	}
+	suspects := w.crashSuspects(lostAt, wasSent)
+	if a.hasCommonCause(lostAt, id) {
+		suspects = withoutCoincidences(suspects)
+	}
 	for _, t := range a.trials[id] {
 		if t.trial != nil && (t.trial.Incarnation == w.Incarnation || w.Incarnation == 0) {
-			suspects = append(suspects, t)
+			// The time of the start is not known.
+			suspects = append(suspects, suspect{t, true})
 		}
 	}
 	a.logLostRuns(w, suspects)
@@ -121,6 +156,69 @@
 	}
 }
 
+// crashSuspects returns the tasks whose runs may have crashed the worker: those that it has not proven, or else those that started
+// recently.
+func (w *worker) crashSuspects(lostAt time.Time, wasSent func(name TaskName, run int64) bool) []suspect {
+	var unproven, recent []suspect
+	for _, p := range w.places {
+		prompt := p.startedAt.IsZero() && !p.adopted || !p.startedAt.IsZero() && lostAt.Sub(p.startedAt) <= promptCrash
+		switch {
+		case p.state == placeClaimed || wasSent != nil && !wasSent(p.task.name(), p.run):
+		case !p.proven():
+			unproven = append(unproven, suspect{p.task, prompt})
+		case p.requestedAt.Sub(p.placedAt) < recentStart:
+			recent = append(recent, suspect{p.task, prompt})
+		}
+	}
+	if len(unproven) > 0 {
+		return unproven
+	}
+	return recent
+}
+
+// withoutCoincidences returns the suspects that remain if the worker was lost beside many others: those of a single job that were lost right after
+// their start, or under which several workers have crashed before.
+func withoutCoincidences(suspects []suspect) []suspect {
+	if !ofOneJob(suspects) {
+		return nil
+	}
+	return slices.DeleteFunc(suspects, func(s suspect) bool { return !s.prompt && len(s.task.crashes) < manyCrashes })
+}
+
+func ofOneJob(suspects []suspect) bool {
+	return !slices.ContainsFunc(suspects, func(s suspect) bool { return s.task.stage.job != suspects[0].task.stage.job })
+}
+
+// workerLoss is the loss of contact with a worker on which all runs were proven.
+type workerLoss struct {
+	worker string
+	at     time.Time
+}
+
+// recordLoss records that contact with a worker was lost, unless a run that it has not proven may be the cause.
+func (a *Arranger) recordLoss(now time.Time, w *worker) {
+	a.losses = slices.DeleteFunc(a.losses, func(l workerLoss) bool { return now.Sub(l.at) > lossMemory })
+	if !slices.ContainsFunc(w.places, func(p *place) bool { return p.state != placeClaimed && !p.proven() }) {
+		a.losses = append(a.losses, workerLoss{w.ID, now})
+	}
+}
+
+// hasCommonCause reports whether so many other workers were lost at the time that no task is the cause.
+func (a *Arranger) hasCommonCause(lostAt time.Time, id string) bool {
+	others := map[string]bool{}
+	for _, l := range a.losses {
+		if l.worker != id && l.at.Sub(lostAt).Abs() <= commonCauseWindow {
+			others[l.worker] = true
+		}
+	}
+	return a.areMany(len(others))
+}
+
+// areMany reports whether the loss of so many workers at a time has a common cause.
+func (a *Arranger) areMany(lost int) bool {
+	return lost >= commonCauseWorkers && float64(lost) >= commonCauseShare*float64(len(a.workers))
+}
+
 // inheritCrash notes for the jobs of a previous owner that a worker has crashed on which they may have had runs.
 func (a *Arranger) inheritCrash(crash Trial) {
 	a.inheritedCrashes[crash.Worker] = crash
@@ -137,70 +235,46 @@
 	if len(a.inheritedCrashes) == 0 {
 		return
 	}
+	manyLost := a.areMany(len(a.inheritedCrashes))
 	for _, j := range slices.Clone(a.active) {
 		if len(j.inheritedCrashes) == 0 || a.awaitsReport(j) {
 			continue
 		}
-		var suspects []*task
+		var suspects []suspect
 		for _, s := range j.stages {
 			for _, t := range s.tasks {
-				if !s.ready.IsZero() && !t.done && t.place == nil {
-					suspects = append(suspects, t)
+				if !s.ready.IsZero() && !t.done && t.place == nil && (!manyLost || len(t.crashes) >= manyCrashes) {
+					suspects = append(suspects, suspect{task: t})
 				}
 			}
 		}
-		crashes := j.inheritedCrashes
+		// A task had one run at most, so that it can have crashed only one of the workers.
+		crash := j.inheritedCrashes[0]
 		j.inheritedCrashes = nil
-		for _, crash := range crashes {
-			a.recordCrash(now, crash, suspects, false)
-		}
-	}
-}
-
-// crashSuspects returns the tasks whose runs may have crashed the worker: those that it has not proven, or else those that started
-// recently.
-func (w *worker) crashSuspects(wasSent func(name TaskName, run int64) bool) []*task {
-	var unproven, recent []*task
-	for _, p := range w.places {
-		switch {
-		case p.state == placeClaimed || wasSent != nil && !wasSent(p.task.name(), p.run):
-		case !p.proven():
-			unproven = append(unproven, p.task)
-		case p.requestedAt.Sub(p.placedAt) < recentStart:
-			recent = append(recent, p.task)
-		}
-	}
-	if len(unproven) > 0 {
-		return unproven
+		a.attributeCrash(now, crash, suspects)
 	}
-	return recent
-}
-
-// attributeCrash records the crash of an incarnation of a worker for the suspected tasks, once for each, and fails the jobs of those that have
-// crashed too many.
-func (a *Arranger) attributeCrash(now time.Time, crash Trial, suspects []*task) {
-	alone := !slices.ContainsFunc(suspects, func(t *task) bool { return t.stage.job != suspects[0].stage.job })
-	a.recordCrash(now, crash, suspects, alone)
 }
 
-// recordCrash is attributeCrash for suspects of which it is known whether they are of one job.
-func (a *Arranger) recordCrash(now time.Time, crash Trial, suspects []*task, alone bool) {
-	for _, t := range suspects {
+// attributeCrash records the crash of an incarnation of a worker for the suspected tasks, once for each, and fails the jobs of those under which too
+// many workers have crashed.
+func (a *Arranger) attributeCrash(now time.Time, crash Trial, suspects []suspect) {
+	alone := ofOneJob(suspects)
+	for _, s := range suspects {
+		t := s.task
 		j := t.stage.job
-		if _, known := t.crashes[crash.String()]; known || t.done || j.state.Final() {
+		if slices.Contains(t.crashes, crash.String()) || t.done || j.state.Final() {
 			continue
 		}
-		if t.crashes == nil {
-			t.crashes = map[string]bool{}
+		if !t.suspected() {
 			t.stage.suspects++
 		}
-		t.crashes[crash.String()] = alone
+		t.crashes = append(t.crashes, crash.String())
 		t.trial = nil
 		a.dirty[j.ID] = true
 		a.changed = true
 		a.options.Log("task suspected of crashing its worker", "task", t.label(), "worker", crash.Worker, "born", crash.Incarnation, "alone", alone,
-			"crashes", len(t.crashes), "at", now)
-		if t.exhausted() {
+			"prompt", s.prompt, "crashes", len(t.crashes), "at", now)
+		if len(t.crashes) >= maxCrashes {
 			a.endJob(j, Failed, fmt.Sprintf("%d workers crashed under task %s", len(t.crashes), t.label()))
 		}
 	}
@@ -214,10 +288,10 @@
 		return
 	}
 	maps.DeleteFunc(a.silentLosses, func(_ string, l silentLoss) bool { return now.Sub(l.removedAt) > silentMemory })
-	var suspects []*task
+	var suspects []suspect
 	for _, p := range w.places {
 		if p.state != placeClaimed && !p.proven() {
-			suspects = append(suspects, p.task)
+			suspects = append(suspects, suspect{task: p.task})
 		}
 	}
 	if len(suspects) > 0 && !w.Leaving {
@@ -243,7 +317,7 @@
 // restoreCrashes applies the recorded crashes of a task, and expects to learn what became of a recorded trial.
 func (a *Arranger) restoreCrashes(t *task, recorded TaskProgress) {
 	if len(recorded.Crashes) > 0 {
-		t.crashes = maps.Clone(recorded.Crashes)
+		t.crashes = slices.Clone(recorded.Crashes)
 		t.stage.suspects++
 	}
 	if recorded.Trial == nil || t.done {
@@ -275,7 +349,7 @@
 func (a *Arranger) resolveTrials(now time.Time, w *worker) {
 	for _, t := range a.trials[w.ID] {
 		if t.trial != nil && w.Incarnation != 0 && t.trial.Incarnation != 0 && t.trial.Incarnation != w.Incarnation {
-			a.attributeCrash(now, *t.trial, []*task{t})
+			a.attributeCrash(now, *t.trial, []suspect{{t, true}})
 		}
 	}
 }
@@ -297,10 +371,10 @@
 }
 
 // logLostRuns logs the runs that are lost with their worker and the tasks that may have crashed it.
-func (a *Arranger) logLostRuns(w *worker, suspects []*task) {
+func (a *Arranger) logLostRuns(w *worker, suspects []suspect) {
 	var names []string
-	for _, t := range suspects[:min(len(suspects), maxLoggedTasks)] {
-		names = append(names, t.label())
+	for _, s := range suspects[:min(len(suspects), maxLoggedTasks)] {
+		names = append(names, s.task.label())
 	}
 	runs, unreported := 0, 0
 	var youngest time.Duration
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -14,7 +14,7 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{orphans: map[string]Resources{}}
+		w = &worker{orphans: map[string]Resources{}, joinedAt: now}
 		a.workers[info.ID] = w
 		index, _ := slices.BinarySearchFunc(a.sortedWorkers, info.ID, func(other *worker, id string) int { return strings.Compare(other.ID, id) })
 		a.sortedWorkers = slices.Insert(a.sortedWorkers, index, w)
@@ -58,11 +58,17 @@
 func (a *Arranger) AwaitsReports() bool { return len(a.awaitedReports) > 0 }
 
 // SetReachable records whether a worker answers; an unreachable worker keeps its runs but gets no new work.
-func (a *Arranger) SetReachable(id string, reachable bool) {
-	if w := a.workers[id]; w != nil {
-		a.changed = a.changed || w.reachable != reachable
-		w.reachable = reachable
+func (a *Arranger) SetReachable(now time.Time, id string, reachable bool) {
+	w := a.workers[id]
+	if w == nil {
+		return
+	}
+	a.changed = a.changed || w.reachable != reachable
+	if w.reachable && !reachable {
+		w.lostContactAt = now
+		a.recordLoss(now, w)
 	}
+	w.reachable = reachable
 }
 
 // removeWorker removes a worker on which no run can be alive any more.
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -161,6 +161,9 @@
 	}
 	if s.suspects > 0 {
 		c.misfit += crashRisk * float64(max(0, cand.worker.Capacity.Accelerators-available.Accelerators))
+		if t.pass.now.Sub(cand.worker.joinedAt) < unstablePeriod {
+			c.misfit += unstablePenalty
+		}
 	}
 	if fits {
 		return c, true
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -27,8 +27,8 @@
 	// FailedRuns are the numbers of the failed runs, kept since their ends may be reported again.
 	FailedRuns []int64 `json:"failedRuns,omitempty"`
 	Checkpoint string  `json:"checkpoint,omitempty"`
-	// Crashes maps the incarnations of workers that crashed under suspected runs, named WORKER@INCARNATION, to whether no other job was suspected.
-	Crashes map[string]bool `json:"crashes,omitempty"`
+	// Crashes are the incarnations of workers, as WORKER@INCARNATION, that crashed under suspected runs.
+	Crashes []string `json:"crashes,omitempty"`
 	// Trial is a start of a task with crashes whose outcome is not known.
 	Trial *Trial `json:"trial,omitempty"`
 }
@@ -86,7 +86,7 @@
 				p.Tasks = map[string]TaskProgress{}
 			}
 			p.Tasks[t.key()] = TaskProgress{
-				FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: maps.Clone(t.crashes), Trial: t.trialToRecord(),
+				FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes), Trial: t.trialToRecord(),
 			}
 		}
 	}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -142,11 +142,7 @@
 	}
 	wasProven := p.proven()
 	p.requestedAt = requestedAt
-	if p.task.suspected() && !wasProven && p.proven() {
-		// Others may start beside it, and the next owner need not find out about it.
-		a.changed = true
-		a.dirty[p.task.stage.job.ID] = true
-	}
+	a.updateSuspicion(p, wasProven)
 	if r.Percent > p.percent || p.progressedAt.IsZero() {
 		p.progressedAt = now
 		if p.firstProgressAt.IsZero() && r.Percent > 0 {
@@ -369,7 +365,7 @@
 	}
 	if p.state == placeStarting {
 		p.state = placeRunning
-		p.confirmedAt = now
+		p.confirmedAt, p.startedAt = now, now
 	}
 	p.worker.unanswered = unansweredStarts{}
 	a.markStarted(p.task.stage.job)
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -28,7 +28,9 @@
 	placedAt time.Time
 	// confirmedAt is when the worker confirmed the latest order; reports requested earlier may not reflect it.
 	confirmedAt time.Time
-	percent     int
+	// startedAt is when the worker confirmed the start; zero for an adopted run.
+	startedAt time.Time
+	percent   int
 	// progressedAt is when the percentage last rose; firstProgressAt is when it first was above zero, at
 	// firstPercent.
 	progressedAt    time.Time
@@ -57,8 +59,8 @@
 	checkpoint string
 	// failedOn is the set of workers on which the task failed.
 	failedOn map[string]bool
-	// crashes maps the incarnations of workers that crashed under suspected runs of the task to whether no other job was suspected.
-	crashes map[string]bool
+	// crashes are the incarnations of workers, as WORKER@INCARNATION, that crashed under suspected runs of the task.
+	crashes []string
 	// trial is a start of the task by a previous owner of which it is not known whether it crashed the worker.
 	trial *Trial
 }
@@ -138,6 +140,8 @@
 	places []*place
 	// hasReported means that the worker has reported under the present owner's fence.
 	hasReported bool
+	// joinedAt is when this incarnation became known, lostContactAt when a report last failed to arrive after one that did.
+	joinedAt, lostContactAt time.Time
 	// reachable means that the latest report arrived in time.
 	reachable bool
 	// orphans maps runs that belong to no known placement to the resources that they use.
--- a/director/session.go
+++ b/director/session.go
@@ -301,6 +301,6 @@
 		if s.failures == 1 {
 			t.Logger.Warn("worker does not respond", "worker", s.worker.ID, "error", err.Error())
 		}
-		t.arranger.SetReachable(s.worker.ID, false)
+		t.arranger.SetReachable(time.Now(), s.worker.ID, false)
 	}
 }
