--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -215,7 +215,12 @@
 	w.fleet.mu.Lock()
 	there := w.runs[run.name] == run
 	if there {
-		w.fleet.crashes[run.name]++
+		for _, other := range w.runs {
+			// Tasks that start together would each have crashed the worker.
+			if w.fleet.jobs[other.job].CrashAfter > 0 {
+				w.fleet.crashes[other.name]++
+			}
+		}
 	}
 	w.fleet.mu.Unlock()
 	if there {
