faker: Split the fake workers by concern

Change: the requests to a worker are in taskhttp.go, crashes and the other faults in taskfaults.go, and one function returns the highest count of a task. Moves otherwise.

--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+const (
+	// crashedTime is how long a crashed worker is away.
+	crashedTime = 3 * time.Second
+	// crashBudget is the number of workers that a task may crash before its starts are counted, and extraStarts the number of these that violates an invariant.
+	crashBudget, extraStarts = 3, 3
+)
+
 // SetFailing sets whether all runs on the worker fail shortly after they begin to work.
 func (w *TaskWorker) SetFailing(failing bool) {
 	w.fleet.mu.Lock()
@@ -94,14 +101,70 @@
 }
 
 // Failures returns the highest number of failed runs of one task of the job.
-func (f *TaskFleet) Failures(job string) int {
+func (f *TaskFleet) Failures(job string) int { return f.mostOfATask(job, f.failed) }
+
+// Crashes returns the highest number of workers that one task of the job has crashed.
+func (f *TaskFleet) Crashes(job string) int { return f.mostOfATask(job, f.crashes) }
+
+// mostOfATask returns the highest count of a task of the job.
+func (f *TaskFleet) mostOfATask(job string, counts map[string]int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	failures := 0
-	for task, count := range f.failed {
+	most := 0
+	for task, count := range counts {
 		if jobOfTask(task) == job {
-			failures = max(failures, count)
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
+// Crash ends the worker; a new incarnation is back after crashedTime.
+func (w *TaskWorker) Crash() {
+	w.restart(true)
+	time.AfterFunc(crashedTime, func() {
+		w.Restart()
+		if w.fleet.OnReturn != nil {
+			w.fleet.OnReturn(w)
+		}
+	})
+}
+
+// crashBy crashes the worker if the run is still there.
+func (w *TaskWorker) crashBy(run *taskRun) {
+	w.fleet.mu.Lock()
+	there := w.runs[run.name] == run
+	if there {
+		for _, other := range w.runs {
+			// Tasks that start together would each have crashed the worker.
+			if w.fleet.jobs[other.job].CrashAfter > 0 {
+				w.fleet.crashes[other.name]++
+			}
 		}
 	}
-	return failures
+	w.fleet.mu.Unlock()
+	if there {
+		w.Crash()
+	}
+}
+
+// SetSilent sets whether the worker leaves all requests unanswered; its running tasks continue.
+func (w *TaskWorker) SetSilent(silent bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.silent = silent
+}
+
+// LoseStartReplies makes the worker execute the next count start requests without a response.
+func (w *TaskWorker) LoseStartReplies(count int) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.lostReplies = count
+}
+
+// DelayStarts makes the worker leave the next count start requests unanswered and execute them after the delay.
+func (w *TaskWorker) DelayStarts(count int, delay time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.delayedStarts, w.startDelay = count, delay
 }
