acceptor: Refuse at once while the configuration cannot be read

Cause: a request that an outdated configuration cannot decide waited up to 0.5 s for a newer state even if the reads were failing, so that a refusal that was all but certain came late.

Change: it waits only if the latest read succeeded, as after a pause of the process, where one round trip is enough. The cases of the test past the deadline have to refuse in no time now; its case of an outage that ends while a request waits is replaced by a suspend of the VM, with a known and an unknown queue.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -140,7 +140,8 @@
 	return t
 }
 
-// confirmed reports whether the configuration is known to have been the newest one within maxAge; while the store responds, it waits for that.
+// confirmed reports whether the configuration is known to have been the newest one within maxAge; after a pause of the process it waits for that, but not while it
+// cannot be read.
 func (a *Acceptor) confirmed(r *http.Request, maxAge time.Duration) bool {
 	if a.ConfigDeadline == 0 {
 		return true
@@ -148,7 +149,7 @@
 	if age, known := a.Config.Age(); known && age <= maxAge {
 		return true
 	}
-	if a.Store.SinceLastResponse() > storeUnreachableAfter {
+	if a.Config.Failing() || a.Store.SinceLastResponse() > storeUnreachableAfter {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(refreshTimeout, clientTimeout(r)-responseMargin))
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -59,6 +59,9 @@
 	return f.now() - known.at, true
 }
 
+// Failing reports whether the latest read failed.
+func (f *Follower) Failing() bool { return f.storeUnavailable.Load() }
+
 // Await waits until the current configuration is known to have been the newest one within maxAge, and reports whether it is.
 func (f *Follower) Await(ctx context.Context, maxAge time.Duration) bool {
 	for {
