--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -143,12 +143,15 @@
 
 // endsCase: the store is down while more runs end on a worker than one response lists.
 func endsCase(w *world, trouble bool) int {
-	const tasks, outage = 2400, 4500 * time.Millisecond
+	const tasks, before, outage = 6000, 1000, 4500 * time.Millisecond
 	w.configure(4)
 	w.addWorkers(4, 32000, 65536, 8)
+	for _, wk := range w.workers {
+		wk.setSlots(64)
+	}
 	w.addEntries(3)
 	w.ready()
-	j := w.newJob(1, 1, tasks, taskSpec{CPU: 50, MemMB: 64, work: 5 * time.Second})
+	j := w.newJob(1, 1, tasks, taskSpec{CPU: 500, MemMB: 512, work: 250 * time.Millisecond})
 	if !w.submit(j) {
 		fatal("job not accepted")
 	}
@@ -156,11 +159,10 @@
 		w.judge.mu.Lock()
 		started := w.judge.started
 		w.judge.mu.Unlock()
-		if started >= tasks/2 {
+		if started >= before {
 			break
 		}
 	}
-	time.Sleep(1500 * time.Millisecond)
 	if trouble {
 		w.note("store is silent")
 		w.store.SetFaults(faker.RowFaults{Silent: true})
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -48,6 +48,7 @@
 	cpu   int
 	mem   int
 	gpu   int
+	slots int
 
 	listener net.Listener
 	server   *http.Server
@@ -76,7 +77,7 @@
 }
 
 func newWorker(w *world, index, cpu, mem, gpu int, rack string) *worker {
-	wk := &worker{world: w, index: index, cpu: cpu, mem: mem, gpu: gpu, rack: rack, conns: map[net.Conn]bool{}}
+	wk := &worker{world: w, index: index, cpu: cpu, mem: mem, gpu: gpu, slots: 8, rack: rack, conns: map[net.Conn]bool{}}
 	wk.begin(fmt.Sprintf("i-%08x", 0x7f3a9100+index))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -134,6 +135,14 @@
 	w.world.note("worker %s rejects %.0f of 100 requests with 503", w.id, 100*share)
 }
 
+// setSlots sets the number of slots in the worker's entry.
+func (w *worker) setSlots(n int) {
+	w.mu.Lock()
+	w.slots = n
+	w.mu.Unlock()
+	w.register()
+}
+
 func (w *worker) clock() time.Duration { return time.Since(w.startAt) }
 
 // crash ends the worker: all its runs are lost, and it answers nothing.
@@ -183,7 +192,7 @@
 	w.seq++
 	id := w.id
 	entry := map[string]any{
-		"service": service, "addr": w.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
+		"service": service, "addr": w.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": w.slots, "state": "ready",
 		"coldLeftMs": 0, "capacity": map[string]any{"cpu": w.cpu, "memMb": w.mem, "gpu": w.gpu}, "labels": []string{"a", w.rack},
 		"clockMs": w.clock().Milliseconds(), "seq": w.seq, "born": w.born, "machine": fmt.Sprintf("m-%04x", w.index),
 	}
