--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -6,8 +6,6 @@
 	"os/signal"
 	"syscall"
 	"time"
-
-	"github.com/snipelift/snipelift/faker"
 )
 
 // maxTime ends a case that takes too long.
@@ -165,9 +163,9 @@
 	}
 	if trouble {
 		w.note("store is silent")
-		w.store.SetFaults(faker.RowFaults{Silent: true})
+		w.store.setSilent(true)
 		time.Sleep(outage)
-		w.store.SetFaults(faker.RowFaults{})
+		w.store.setSilent(false)
 		w.note("store answers again")
 	}
 	for until := time.Now().Add(60 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -161,7 +161,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.dark && w.life == life {
-			w.world.store.Remove("servers", id)
+			w.world.store.remove("servers", id)
 			w.world.note("entry of %s is removed", id)
 		}
 	})
@@ -178,7 +178,7 @@
 	w.mu.Unlock()
 	w.world.note("worker %s is back as %s (life %d)", old, id, w.life)
 	if old != id {
-		time.AfterFunc(3*heartbeat, func() { w.world.store.Remove("servers", old) })
+		time.AfterFunc(3*heartbeat, func() { w.world.store.remove("servers", old) })
 	}
 	w.register()
 }
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -15,8 +15,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/snipelift/snipelift/faker"
 )
 
 const (
@@ -37,7 +35,7 @@
 
 // world holds the stand-ins and the processes of one case.
 type world struct {
-	store   *faker.RowStore
+	store   *store
 	front   *storeFront
 	judge   *judge
 	workers []*worker
@@ -69,7 +67,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	w := &world{store: faker.NewRowStore(), record: file, specs: map[string]taskSpec{}, keys: map[string]string{}, began: time.Now()}
+	w := &world{store: newStore(), record: file, specs: map[string]taskSpec{}, keys: map[string]string{}, began: time.Now()}
 	w.judge = newJudge(w)
 	if w.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		fatal("%v", err)
@@ -110,7 +108,7 @@
 	return w.specs[parts[0]]
 }
 
-func (w *world) putWorker(id string, entry map[string]any) { w.store.Put("servers", id, entry) }
+func (w *world) putWorker(id string, entry map[string]any) { w.store.put("servers", id, entry) }
 
 // configure writes the operator's configuration: queues of priority 0, 1 and 2.
 func (w *world) configure(maxAttempts int) {
@@ -121,7 +119,7 @@
 			"priority": p, "service": service, "maxAttempts": maxAttempts, "stretch": 3.0, "public": false,
 		})
 	}
-	w.store.Put("op", "config", map[string]any{
+	w.store.put("op", "config", map[string]any{
 		"version": 7, "routes": routes, "services": []any{map[string]any{"name": service, "admissionCheck": true}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
@@ -139,7 +137,7 @@
 
 // storeFront is the store's address; it can leave requests unanswered.
 type storeFront struct {
-	store *faker.RowStore
+	store *store
 
 	mu sync.Mutex
 	// lateText selects the transactions that get no answer and are applied after late.
@@ -317,7 +315,7 @@
 
 // owner returns the entry that holds the lease, or nil.
 func (w *world) owner() *entry {
-	for _, value := range w.store.Rows("lease", "owner") {
+	for _, value := range w.store.values("lease", "owner") {
 		var lease struct {
 			Node string `json:"node"`
 		}
