--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -239,3 +239,48 @@
 	time.Sleep(8 * time.Second)
 	return verdictOf(w.judge.verdict())
 }
+
+// blameCase: three times a worker crashes and the owner is killed at about the same moment. Each time another task of the
+// job ran on the worker; a further task of the job waits for room all the while and has never run.
+func blameCase(w *world, trouble bool) int {
+	const rounds, away = 3, 1500 * time.Millisecond
+	w.configure(4)
+	w.addWorkers(8, 32000, 65536, 8)
+	w.addEntries(3)
+	w.ready()
+	// Lasting tasks leave no worker of rack r1-1 whole.
+	serve := w.newJob(1, 0, 4, taskSpec{CPU: 1000, MemMB: 1000, GPU: 1, work: lasts})
+	serve.body = `{"spec":"serve","steps":[{"count":4,"cpu":1000,"memMb":1000,"gpu":1,"estimateMs":1000,"persistent":true,"requires":"r1-1","maxPerServer":1}]}`
+	j := w.newJob(2, 1, 3, taskSpec{CPU: 13000, MemMB: 34000, GPU: 8, work: 45 * time.Second})
+	j.body = `{"spec":"long","steps":[{"count":3,"cpu":13000,"memMb":34000,"gpu":8,"estimateMs":45000,"requires":"r1-0"},` +
+		`{"count":1,"cpu":13000,"memMb":34000,"gpu":8,"estimateMs":45000,"requires":"r1-1"}]}`
+	if !w.submit(serve) || !w.submit(j) {
+		fatal("jobs not accepted")
+	}
+	time.Sleep(7 * time.Second)
+	for n := range rounds {
+		task := j.id + ".0.0." + string(rune('0'+n))
+		if trouble {
+			victim := w.workerOf(task)
+			if victim == nil {
+				fatal("task %s does not run", task)
+			}
+			victim.crash()
+			if owner := w.owner(); owner != nil {
+				owner.stop(syscall.SIGKILL)
+			}
+			time.Sleep(away)
+			victim.restart(victim.id + "a")
+		}
+		time.Sleep(8 * time.Second)
+		if state := w.state(j); state == "failed" {
+			w.judge.mu.Lock()
+			ran := len(w.judge.starts[j.id+".0.1.0"])
+			w.judge.mu.Unlock()
+			w.note("BROKEN: LOST: job %s is shown as failed; no run has ended failed, under each of three tasks one worker has crashed, and the fourth task was started %d times", j.id, ran)
+			return 1
+		}
+	}
+	w.note("state of %s: %s", j.id, w.state(j))
+	return verdictOf(w.judge.verdict())
+}
