--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/snipelift-entry ] && [ -x target/review-standin ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-standin blame "$here/record.txt"
+exec target/review-standin ends "$here/record.txt"
