--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -145,8 +145,9 @@
 		if trouble {
 			victim.setGrey(share)
 		}
-		for at := time.Duration(0); at+gap < grey; at += gap {
-			time.Sleep(gap)
+		began := time.Now()
+		for next := gap; next < grey; next += gap {
+			time.Sleep(time.Until(began.Add(next)))
 			if !trouble {
 				continue
 			}
@@ -154,7 +155,7 @@
 				owner.stop(syscall.SIGTERM)
 			}
 		}
-		time.Sleep(gap)
+		time.Sleep(time.Until(began.Add(grey)))
 		if trouble {
 			victim.setGrey(0)
 		}
