--- a/review/_standin/judge.go
+++ b/review/_standin/judge.go
@@ -15,6 +15,8 @@
 	live   map[string]map[*run]*worker
 	starts map[string][]start
 	doneAt map[string][]doneEnd
+	// failed counts the ends failed, and crashed the workers that crashed under a run, by task.
+	failed, crashed map[string]int
 	// stoppedAt is when an order last ended a run of a task that was at work.
 	stoppedAt map[string]time.Time
 	ends      int
@@ -36,7 +38,7 @@
 }
 
 func newJudge(w *world) *judge {
-	return &judge{world: w, live: map[string]map[*run]*worker{}, starts: map[string][]start{}, doneAt: map[string][]doneEnd{}, stoppedAt: map[string]time.Time{}}
+	return &judge{world: w, live: map[string]map[*run]*worker{}, starts: map[string][]start{}, doneAt: map[string][]doneEnd{}, stoppedAt: map[string]time.Time{}, failed: map[string]int{}, crashed: map[string]int{}}
 }
 
 func (j *judge) breaks(format string, args ...any) {
@@ -65,8 +67,10 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.live[r.task], r)
-	j.ends++
 	j.world.note("end %s run %d on %s (life %d): %s", r.task, r.number, w.id, w.life, how)
+	if how == "failed" {
+		j.failed[r.task]++
+	}
 	if how == "done" {
 		j.doneAt[r.task] = append(j.doneAt[r.task], doneEnd{at: at, number: r.number, worker: w.id})
 	}
@@ -77,6 +81,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.live[r.task], r)
+	j.crashed[r.task]++
 	j.world.note("lost %s run %d with %s (life %d)", r.task, r.number, w.id, w.life)
 }
 
@@ -147,3 +152,20 @@
 	}
 	return false
 }
+
+// causes returns the number of ends failed of a job, and the most workers that crashed under one of its tasks.
+func (j *judge) causes(job string) (failed, crashed int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for task, n := range j.failed {
+		if strings.HasPrefix(task, job) {
+			failed += n
+		}
+	}
+	for task, n := range j.crashed {
+		if strings.HasPrefix(task, job) {
+			crashed = max(crashed, n)
+		}
+	}
+	return failed, crashed
+}
