--- a/review/_standin/judge.go
+++ b/review/_standin/judge.go
@@ -133,7 +133,7 @@
 	step := r.task[:strings.LastIndex(r.task, ".")+1]
 	away := 0
 	for task, at := range j.stoppedAt {
-		if task != r.task && strings.HasPrefix(task, step) && !j.isAtWork(task) {
+		if task != r.task && strings.HasPrefix(task, step) && !j.isBack(task, at) {
 			away++
 			j.world.note("%s is away, ended by an order %s ago", task, time.Since(at).Truncate(time.Millisecond))
 		}
@@ -144,9 +144,10 @@
 	j.stoppedAt[r.task] = time.Now()
 }
 
-func (j *judge) isAtWork(task string) bool {
+// isBack reports whether a run that started after the order is at work.
+func (j *judge) isBack(task string, stoppedAt time.Time) bool {
 	for r := range j.live[task] {
-		if time.Since(r.started) >= startup {
+		if r.started.After(stoppedAt) && time.Since(r.started) >= startup {
 			return true
 		}
 	}
