director: Count leases of earlier owners from the beginning of a session

Workers that reject part of their requests and owners that are stopped in turn are enough.

Cause: a session knew the end of the leases that this owner had granted, and 0 stood for none. The bound of earlier owners' leases, known from the record or from the age of the term, was dropped with the first response, so that one missed poll afterwards removed the worker and requeued its tasks while they ran. A worker that fell silent again before the first grant was recorded as expired for the next owner.

Ruled out by logs: a wrong recorded end (its "left" was within the 9 s of a lease), and a drifting estimate of the worker's clock (the error was the whole reading, not a few per cent).

Change: a session is opened with the local time at which all leases there have expired; grants move it forward, nothing moves it back. Removal of a silent worker, expected reports and the recorded end use this one bound. Why it works: there is no state in which the bound is unknown.

Evidence: TestLeasesOfAnEarlierOwnerCountAfterTheWorkerIsHeard failed before (started on w1 while it runs on w0) and passes.

--- a/director/session.go
+++ b/director/session.go
@@ -34,8 +34,9 @@
 	workerClock time.Duration
 	respondedAt time.Duration
 	responded   bool
-	// leaseUntil is the latest end of a lease that was sent, on the worker's clock.
-	leaseUntil time.Duration
+	// leasesExpire is the local time at which all leases of the worker, those of earlier owners included, have expired for certain. It is
+	// known from the beginning of the session and never moves back.
+	leasesExpire time.Duration
 	// lastEnded is the number of the last ended run that the worker has reported, lastRecorded that of the last one in the store.
 	lastEnded, lastRecorded int64
 	// change is the writer's change number that covers the reported ended runs.
@@ -61,7 +62,7 @@
 		}
 		t.closeSession(s, "worker restarted", t.removeRestarted)
 	}
-	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true}
+	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true, leasesExpire: t.inheritedExpiry}
 	t.sessions[info.ID] = s
 	// The session can be closed before its goroutine runs.
 	ctx := t.context(s)
@@ -106,22 +107,20 @@
 // extendLease returns the end of a lease granted now, on the worker's clock.
 func (s *session) extendLease() time.Duration {
 	until := s.estimateClock() + s.term.leaseDuration()
-	s.leaseUntil = max(s.leaseUntil, until)
+	s.leasesExpire = max(s.leasesExpire, s.respondedAt+time.Duration(float64(until-s.workerClock)*clockDriftFactor)+leaseExpiryMargin)
 	s.grantedAt = s.term.now()
 	return until
 }
 
-// leaseExpired reports whether all leases granted to the worker have expired for certain.
-func (s *session) leaseExpired() bool {
-	if !s.responded {
-		return false
-	}
-	return s.term.now() >= s.leaseExpiry()
-}
+// leaseExpired reports whether all leases of a worker that has responded have expired for certain.
+func (s *session) leaseExpired() bool { return s.responded && s.term.now() >= s.leasesExpire }
 
-// leaseExpiry returns the local time at which all leases granted to a worker that has responded have expired for certain.
-func (s *session) leaseExpiry() time.Duration {
-	return s.respondedAt + time.Duration(float64(s.leaseUntil-s.workerClock)*clockDriftFactor) + leaseExpiryMargin
+// restoreLeaseEnd applies the recorded end of the worker's leases, by the store's clock, which shows storeTime now.
+func (s *session) restoreLeaseEnd(leaseEnd, storeTime time.Duration) {
+	s.leaseEnd = leaseEnd
+	if leaseEnd != 0 && storeTime != 0 {
+		s.leasesExpire = min(s.leasesExpire, s.term.now()+leaseEnd-storeTime)
+	}
 }
 
 // silent reports whether the worker's lease is no longer renewed.
--- a/director/silent_test.go
+++ b/director/silent_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -192,3 +193,40 @@
 		}
 	})
 }
+
+// A new owner that had heard a worker once, and granted it no lease yet, took its leases for expired at the next poll without a response, and
+// started the tasks elsewhere while they ran.
+func TestLeasesOfAnEarlierOwnerCountAfterTheWorkerIsHeard(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// silence is how long the worker is silent before the owner is lost; its leases have a recorded end if the owner noticed.
+		silence time.Duration
+		// polls is the number of polls that it answers to the next owner.
+		polls int
+	}{
+		{"end recorded", 3 * time.Second, 1},
+		{"end recorded, heard twice", 3 * time.Second, 2},
+		{"no record", 0, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runService(t, 3, 3, func(s *service) {
+				first := s.owner()
+				s.submit(first, jobA, faker.TaskJob{Duration: 20 * time.Second, Accelerators: 8}, 1)
+				s.await(first, jobA, "running", time.Second)
+				running := s.workers[slices.IndexFunc(s.workers, s.fleet.RunsOn)]
+				running.SetSilent(true)
+				time.Sleep(test.silence)
+				s.board.Isolate(first.name, true)
+				time.Sleep(2500 * time.Millisecond)
+				running.SetSilentAfterPolls(test.polls)
+				// The service's check finds a task that runs twice.
+				time.Sleep(16 * time.Second)
+				if got := s.fleet.Starts(jobA); got != 2 {
+					t.Errorf("%d starts, want one elsewhere once the leases have expired", got)
+				}
+				s.board.Isolate(first.name, false)
+				time.Sleep(recoveryTime)
+			})
+		})
+	}
+}
--- a/director/term.go
+++ b/director/term.go
@@ -64,8 +64,8 @@
 	unsent map[string][]unsentStart
 	// recorded are the workers in the progress rows that this owner has written, by job.
 	recorded map[string]recordedWorkers
-	// inheritedLeaseEnd is the reading of the store's clock at which all leases granted by previous owners have expired, or 0 if that clock is not known.
-	inheritedLeaseEnd time.Duration
+	// inheritedExpiry is the local time at which all leases granted by previous owners have expired.
+	inheritedExpiry time.Duration
 	// loaded means that the state of the previous owner has been loaded.
 	loaded bool
 	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended.
@@ -135,11 +135,7 @@
 
 // restoreWorkers opens sessions with the workers that a previous owner recorded and with those on the platform's list, and expects reports from all that may run tasks of a previous owner.
 func (t *term) restoreWorkers(known platform.Page, listedRows []platform.Row) {
-	inheritedLease := t.maxInheritedLease()
-	if known.StoreTime > 0 {
-		t.inheritedLeaseEnd = known.StoreTime + inheritedLease
-	}
-	expired := time.Now().Add(inheritedLease)
+	t.inheritedExpiry = t.now() + t.maxInheritedLease()
 	recorded := map[string]bool{}
 	var speeds []platform.Row
 	for _, row := range known.Rows {
@@ -157,7 +153,7 @@
 			info := arranger.Worker{ID: w.ID, Address: w.Address, Incarnation: w.Incarnation, Draining: true}
 			recorded[w.ID] = true
 			t.openSession(info)
-			t.sessions[w.ID].leaseEnd = time.Duration(w.LeaseEndMillis) * time.Millisecond
+			t.sessions[w.ID].restoreLeaseEnd(time.Duration(w.LeaseEndMillis)*time.Millisecond, known.StoreTime)
 			t.arranger.SetWorker(time.Now(), info)
 		}
 	}
@@ -168,19 +164,11 @@
 	for id, s := range t.sessions {
 		// A new worker may have been sent tasks before it was recorded; a draining one without a record had been drained.
 		if recorded[id] || !s.worker.Draining {
-			t.arranger.ExpectReport(id, earlierEnd(expired, s.leaseEnd, known.StoreTime))
+			t.arranger.ExpectReport(id, time.Now().Add(s.leasesExpire-t.now()))
 		}
 	}
 }
 
-// earlierEnd returns the earlier of the time expired and of that at which the store's clock, which shows storeTime now, reaches leaseEnd; both are 0 if they are not known.
-func earlierEnd(expired time.Time, leaseEnd, storeTime time.Duration) time.Time {
-	if leaseEnd == 0 || storeTime == 0 {
-		return expired
-	}
-	return earliest(expired, time.Now().Add(leaseEnd-storeTime))
-}
-
 // recordSilentWorkers records when the leases of silent workers end, for the next owner. The store's clock showed storeTime or
 // less when a request was sent at sentAt; the caller holds the term's mutex.
 func (t *term) recordSilentWorkers(sentAt, storeTime time.Duration) {
@@ -188,16 +176,10 @@
 		return
 	}
 	for _, s := range t.sessions {
-		switch {
-		case !s.silent() || s.leaseEnd != 0 || s.grantedAt >= sentAt:
-			continue
-		case s.responded:
-			s.leaseEnd = storeTime + max(0, s.leaseExpiry()-sentAt)
-		case t.loaded && t.inheritedLeaseEnd != 0:
-			s.leaseEnd = t.inheritedLeaseEnd
-		default:
+		if !s.silent() || s.leaseEnd != 0 || s.grantedAt >= sentAt {
 			continue
 		}
+		s.leaseEnd = storeTime + max(0, s.leasesExpire-sentAt)
 		t.Logger.Info("recording the end of a silent worker's leases", "worker", s.worker.ID, "failures", s.failures, "left", (s.leaseEnd - storeTime).String())
 		t.markWorkerDirty(s.worker.ID)
 	}
--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -155,6 +155,13 @@
 	w.silent = silent
 }
 
+// SetSilentAfterPolls makes the worker respond again, and leave all requests unanswered once it has responded to so many polls.
+func (w *TaskWorker) SetSilentAfterPolls(count int) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.silent, w.pollsUntilSilent = false, count
+}
+
 // LoseStartReplies makes the worker execute the next count start requests without a response.
 func (w *TaskWorker) LoseStartReplies(count int) {
 	w.fleet.mu.Lock()
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -138,7 +138,9 @@
 	endedRuns     []endedRun
 	lastEndNumber int64
 	silent        bool
-	failing       bool
+	// pollsUntilSilent is the number of polls after which the worker becomes silent; 0 means that it does not.
+	pollsUntilSilent int
+	failing          bool
 	// crashed means that the worker is away and resets its connections.
 	crashed bool
 	// stalledAt is the time since which the runs make no progress; it is zero if they do.
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -158,6 +158,10 @@
 		return
 	}
 	defer w.fleet.mu.Unlock()
+	if w.pollsUntilSilent > 0 {
+		w.pollsUntilSilent--
+		w.silent = w.pollsUntilSilent == 0
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, run := range w.runs {
 		running = append(running, []any{run.name, run.run, w.fleet.jobs[run.job].Checkpoint, w.percent(run)})
