director: Fence off the requests to earlier incarnations of a worker

A worker crashed and came back under its ID, and a start that was sent before the crash was noticed was executed by the new incarnation while the task had been started elsewhere.

Cause: requests name an ID, which the next incarnation shares. That one has seen no fencing token, and its clock, runs and ends begin anew, so it executes what was meant for the one before: second attempts, late first attempts, starts of an earlier owner; a late poll makes it forget ends that nobody has seen and extends its leases. And the owner requeued the runs before the new incarnation had said what it runs.

Told apart by tests that play each order of events by itself; all of them held, so that stopping the second attempt alone was ruled out as a fix.

Change: epochs are 1,024 apart, and the requests to each further incarnation of a worker in a term carry the next higher token. Runs stay in their places until the new incarnation has reported under that token; those that it does not list wait again. Orders end with their session. An incarnation that responds before the list shows it gets a session at once. Inherited jobs go on waiting for a worker that restarts before its first report. Why it works: with the first response all earlier requests are fenced off, and what they had started is in the response.

Calls in arranger and director tests are adapted to new signatures; WorkerReplaced is what WorkerRestarted was.

--- a/arranger/crash.go
+++ b/arranger/crash.go
@@ -114,13 +114,66 @@
 	prompt bool
 }
 
-// WorkerRestarted removes a worker of which another incarnation has appeared, so that all runs on it are lost, and
-// suspects the runs that may have crashed it; wasSent reports whether the start of a run was sent to the worker.
-func (a *Arranger) WorkerRestarted(now time.Time, id, reason string, wasSent func(name TaskName, run int64) bool) {
+// pendingCrash is the crash of an incarnation of a worker, with the tasks that may have caused it.
+type pendingCrash struct {
+	crash    Trial
+	suspects []suspect
+}
+
+// WorkerReplaced removes a worker at whose address another one responds, so that all runs on it are lost, and suspects the runs that
+// may have crashed it; wasSent reports whether the start of a run was sent to the worker.
+func (a *Arranger) WorkerReplaced(now time.Time, id, reason string, wasSent func(name TaskName, run int64) bool) {
 	w := a.workers[id]
 	if w == nil {
 		return
 	}
+	crashes := a.crashesOf(now, w, wasSent)
+	a.removeWorker(id, reason)
+	a.attributeCrashes(now, w, crashes)
+}
+
+// WorkerRestarted replaces a worker by its next incarnation. A start that was sent to the earlier one may be executed by the next one, so the runs
+// stay in their places there, and only its first report tells which are lost. The runs that may have crashed the earlier one are suspected then.
+func (a *Arranger) WorkerRestarted(now time.Time, next Worker, reason string, wasSent func(name TaskName, run int64) bool) {
+	w := a.workers[next.ID]
+	if w == nil {
+		return
+	}
+	successor := &worker{Worker: next, orphans: map[string]Resources{}, joinedAt: now, earlierCrashes: a.crashesOf(now, w, wasSent)}
+	a.workers[next.ID] = successor
+	a.sortedWorkers[slices.Index(a.sortedWorkers, w)] = successor
+	a.changed = true
+	places := w.places
+	w.places = nil
+	for _, p := range places {
+		p.worker = successor
+		successor.places = append(successor.places, p)
+		p.confirmedAt, p.requestedAt, p.fencedOff = now.Add(-time.Nanosecond), time.Time{}, true
+	}
+	for _, p := range places {
+		switch {
+		case p.state == placeClaimed || wasSent != nil && !wasSent(p.task.name(), p.run):
+			a.releaseAndRequeue(p, reason)
+		case p.state == placeStopping:
+			a.orderStop(p)
+		}
+	}
+}
+
+// attributeCrashes attributes the crashes of the worker's earlier incarnations and, if it is lost, its own; the tasks that are found on the worker did
+// not cause them.
+func (a *Arranger) attributeCrashes(now time.Time, w *worker, crashes []pendingCrash) {
+	for _, c := range crashes {
+		a.attributeCrash(now, c.crash, slices.DeleteFunc(c.suspects, func(s suspect) bool {
+			p := s.task.place
+			return p != nil && p.worker == w && slices.Contains(w.places, p)
+		}))
+	}
+}
+
+// crashesOf returns the crash of the worker, beside those of its earlier incarnations that have not been attributed yet.
+func (a *Arranger) crashesOf(now time.Time, w *worker, wasSent func(name TaskName, run int64) bool) []pendingCrash {
+	id := w.ID
 	crash := Trial{Worker: id, Incarnation: w.Incarnation}
 	lostAt := now
 	if w.reachable {
@@ -142,10 +195,10 @@
 	if !w.Leaving && !w.hasReported && w.Incarnation != 0 {
 		a.inheritCrash(crash)
 	}
-	a.removeWorker(id, reason)
-	if !w.Leaving {
-		a.attributeCrash(now, crash, suspects)
+	if w.Leaving {
+		return w.earlierCrashes
 	}
+	return append(w.earlierCrashes, pendingCrash{crash, suspects})
 }
 
 // crashSuspects returns the tasks whose runs may have crashed the worker: those that it has not proven, or else those that started
@@ -254,6 +307,7 @@
 		a.silentLosses[id] = silentLoss{Trial{id, w.Incarnation}, w.Address, suspects, now}
 	}
 	a.removeWorker(id, reason)
+	a.attributeCrashes(now, w, w.earlierCrashes)
 }
 
 // resolveSilentLoss attributes the loss of a worker to a crash if another incarnation of it, or another worker at its address, appears.
--- a/arranger/crash_test.go
+++ b/arranger/crash_test.go
@@ -283,10 +283,10 @@
 			t.Fatalf("suspected of %v after running for 12 s", crashes)
 		}
 		// The next run crashes its worker at once, by chance.
-		h.WorkerRestarted(h.now, start.Worker, "restarted", nil)
+		h.WorkerReplaced(h.now, start.Worker, "restarted", nil)
 		o = h.planAfter(0)
 		h.confirmStarts(o)
-		h.WorkerRestarted(h.now, o.Starts[0].Worker, "restarted", nil)
+		h.WorkerReplaced(h.now, o.Starts[0].Worker, "restarted", nil)
 		for _, w := range []string{start.Worker, o.Starts[0].Worker} {
 			h.addWorker(w, "r1-0")
 		}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -10,8 +10,8 @@
 func (a *Arranger) SetWorker(now time.Time, info Worker) {
 	w := a.workers[info.ID]
 	if w != nil && w.Incarnation != info.Incarnation && info.Incarnation != 0 && w.Incarnation != 0 {
-		a.WorkerRestarted(now, info.ID, "worker restarted", nil)
-		w = nil
+		a.WorkerRestarted(now, info, "worker restarted", nil)
+		w = a.workers[info.ID]
 	}
 	if w == nil {
 		w = &worker{orphans: map[string]Resources{}, joinedAt: now}
@@ -29,6 +29,12 @@
 // the tasks that a previous owner may have started there have expired.
 func (a *Arranger) ExpectReport(id string, expiry time.Time) { a.awaitedReports[id] = expiry }
 
+// ExpectsReport reports whether inherited jobs wait for the worker's report.
+func (a *Arranger) ExpectsReport(id string) bool {
+	_, expected := a.awaitedReports[id]
+	return expected
+}
+
 // awaitingReports reports whether a worker that has not reported may still run tasks of a previous owner.
 func (a *Arranger) awaitingReports(now time.Time) bool {
 	for id, expiry := range a.awaitedReports {
@@ -138,7 +144,9 @@
 	}
 	p.state = placeStopping
 	p.reason = reason
-	p.confirmedAt = time.Time{}
+	if !p.fencedOff {
+		p.confirmedAt = time.Time{}
+	}
 	a.orderStop(p)
 }
 
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -56,6 +56,9 @@
 		a.handleRunning(now, w, r.RequestedAt, run)
 	}
 	a.releaseMissing(w, r.RequestedAt, listed)
+	crashes := w.earlierCrashes
+	w.earlierCrashes = nil
+	a.attributeCrashes(now, w, crashes)
 }
 
 // handleRunning matches a reported run with its place; it adopts or stops a run without one.
@@ -141,7 +144,7 @@
 		a.saveCheckpoint(p.task, r.Checkpoint)
 	}
 	wasProven := p.proven()
-	p.requestedAt = requestedAt
+	p.requestedAt, p.fencedOff = requestedAt, false
 	a.updateSuspicion(p, wasProven)
 	if r.Percent > p.percent || p.progressedAt.IsZero() {
 		p.progressedAt = now
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -43,7 +43,9 @@
 	pace                         pace
 	// adopted means that a previous owner started the run.
 	adopted bool
-	reason  string
+	// fencedOff means that the run was started on an earlier incarnation of the worker, so that it exists only if the present one lists it.
+	fencedOff bool
+	reason    string
 }
 
 type task struct {
@@ -155,6 +157,8 @@
 	// unanswered is the record of starts that got no answer.
 	unanswered unansweredStarts
 	health     health
+	// earlierCrashes are the crashes of earlier incarnations, which are attributed once this one has reported.
+	earlierCrashes []pendingCrash
 	// logSpeed is the natural logarithm of the rated speed if speedRated is set; speedSum and speedCount are used
 	// to update it.
 	speedRated bool
--- a/director/director.go
+++ b/director/director.go
@@ -174,7 +174,7 @@
 	acquiredAt := d.now()
 	row, previous := state.row, state.lease
 	lease := registrar.Lease{
-		Node: d.Node, Incarnation: d.Incarnation, Epoch: previous.Epoch + 1,
+		Node: d.Node, Incarnation: d.Incarnation, Epoch: nextEpoch(previous.Epoch),
 		WorkersRecorded: row.Version == 0 || previous.WorkersRecorded,
 	}
 	renewed := row
@@ -191,7 +191,7 @@
 	if inheritedVersion != 0 {
 		t.inheritedVersion = inheritedVersion
 	}
-	t.restartedOwner = d.isPreviousProcess(previous)
+	t.restartedOwner, t.firstOwner = d.isPreviousProcess(previous), previous.Epoch == 0
 	t.run(ctx)
 	return true
 }
--- a/director/orders.go
+++ b/director/orders.go
@@ -27,7 +27,7 @@
 // dispatch sends the requests that the arranger decided on; the caller holds the term's mutex.
 func (t *term) dispatch(ctx context.Context) {
 	orders := t.arranger.TakeOrders()
-	t.recordStarts(ctx, orders.Starts)
+	t.recordStarts(orders.Starts)
 	t.requestAdvice(ctx, orders.AdviceRequests)
 	if len(orders.Stops) > 0 {
 		// Claims on the capacity that becomes free are to be recorded meanwhile.
@@ -38,36 +38,37 @@
 		if s == nil || t.withdrawStart(order) {
 			continue
 		}
-		t.Logger.Info("stop ordered", "task", order.Task, "run", order.Run, "worker", order.Worker, "reason", order.Reason, "epoch", t.lease.Epoch)
-		t.spawn(func() { t.stop(ctx, s, order) })
+		t.Logger.Info("stop ordered", "task", order.Task, "run", order.Run, "worker", order.Worker, "reason", order.Reason, "fence", s.fence)
+		t.spawn(func() { t.stop(s, order) })
 	}
 }
 
 // sendStart sends a start request to a worker; the caller holds the term's mutex.
-func (t *term) sendStart(ctx context.Context, order arranger.StartOrder) {
+func (t *term) sendStart(order arranger.StartOrder) {
 	s := t.sessions[order.Worker]
 	if s == nil || !s.responded || !s.mayGrant() {
 		t.arranger.StartRefused(time.Now(), order.Task, order.Run)
 		return
 	}
 	start := platform.StartOrder{
-		Task: order.Task.String(), Run: order.Run, Spec: order.Payload, LeaseUntil: s.extendLease(), Fence: t.lease.Epoch, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+		Task: order.Task.String(), Run: order.Run, Spec: order.Payload, LeaseUntil: s.extendLease(), Fence: s.fence, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 	}
 	t.Logger.Info("start ordered", "job", order.Task.Job, "task", start.Task, "run", order.Run, "worker", order.Worker,
-		"checkpoint", order.Checkpoint, "speed", order.Speed, "reason", order.Reason, "epoch", t.lease.Epoch, "heardAgo", (t.now() - s.respondedAt).String())
-	t.spawn(func() { t.start(ctx, s, order, start) })
+		"checkpoint", order.Checkpoint, "speed", order.Speed, "reason", order.Reason, "fence", s.fence, "heardAgo", (t.now() - s.respondedAt).String())
+	t.spawn(func() { t.start(s, order, start) })
 }
 
 // errRenewalOverdue means that a request was not sent, since the lease was not renewed in time.
 var errRenewalOverdue = fmt.Errorf("%w: lease not renewed in time", platform.ErrNotExecuted)
 
-// start sends a start request until its outcome is known, up to maxStartAttempts times, and passes the result to the arranger.
-func (t *term) start(ctx context.Context, s *session, order arranger.StartOrder, start platform.StartOrder) {
+// start sends a start request until its outcome is known, up to maxStartAttempts times, and passes the result to the arranger. It ends with the
+// session, since the next incarnation of the worker would execute another attempt; what becomes of the run is then for that one to report.
+func (t *term) start(s *session, order arranger.StartOrder, start platform.StartOrder) {
 	var err error
-	outcomeUnknown := false
+	ctx, outcomeUnknown := s.ctx, false
 	for attempt := range maxStartAttempts {
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		if !t.maySendRequests() {
 			err = errRenewalOverdue
@@ -83,6 +84,7 @@
 		sleeper.Sleep(ctx, requestRetryDelay)
 	}
 	if ctx.Err() != nil {
+		t.Logger.Info("start abandoned with its session", "task", start.Task, "run", order.Run, "worker", order.Worker, "fence", start.Fence)
 		return
 	}
 	if outcomeUnknown && err != nil && !errors.Is(err, platform.ErrFenced) {
@@ -120,7 +122,7 @@
 			// The run cannot have crashed the incarnation that it was meant for.
 			t.arranger.StartRefused(now, order.Task, order.Run)
 		}
-		t.closeSession(s, "another incarnation at its address", t.removeRestarted)
+		t.closeSession(s, "another worker at its address", t.removeReplaced)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		t.arranger.StartOutcomeUnknown(order.Task, order.Run)
 	case errors.Is(err, platform.ErrInvalidTicket):
@@ -132,13 +134,14 @@
 }
 
 // stop sends a stop request until the worker confirms it, up to maxStopAttempts times.
-func (t *term) stop(ctx context.Context, s *session, order arranger.StopOrder) {
+func (t *term) stop(s *session, order arranger.StopOrder) {
+	ctx := s.ctx
 	for attempt := range maxStopAttempts {
 		if ctx.Err() != nil || !t.maySendRequests() {
 			return
 		}
 		attemptCtx, cancel := attemptContext(ctx, attempt)
-		err := t.Workers.Stop(attemptCtx, s.worker.ID, s.worker.Address, order.Task, order.Run, t.lease.Epoch)
+		err := t.Workers.Stop(attemptCtx, s.worker.ID, s.worker.Address, order.Task, order.Run, s.fence)
 		cancel()
 		if err == nil {
 			t.mu.Lock()
--- a/director/orders_test.go
+++ b/director/orders_test.go
@@ -32,7 +32,7 @@
 	}
 	// The lease is not renewed between the decision and the start request.
 	now += maxRenewalAge
-	owner.start(t.Context(), &session{term: owner, worker: arranger.Worker{ID: "w"}}, orders[0], platform.StartOrder{})
+	owner.start(&session{term: owner, worker: arranger.Worker{ID: "w"}, ctx: t.Context()}, orders[0], platform.StartOrder{})
 	owner.arranger.Plan(began.Add(time.Second))
 	if again := owner.arranger.TakeOrders().Starts; len(again) != 1 || again[0].Run <= orders[0].Run {
 		t.Errorf("the task was scheduled %d times after an unsent start request, want once under a higher run number", len(again))
--- a/director/rows_test.go
+++ b/director/rows_test.go
@@ -19,8 +19,8 @@
 		first := s.owner()
 		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 4 * time.Second, Gang: 2, Accelerators: 8}, 2)
 		s.await(s.entries[0], jobA, "running", time.Second)
-		if got := leaseEpoch(s); got != 1 {
-			t.Fatalf("epoch %d, want the first owner still to be the owner", got)
+		if got := owners(s); got != 1 {
+			t.Fatalf("%d owners so far, want the first one still to be the owner", got)
 		}
 		s.board.Isolate(first.name, true)
 		time.Sleep(3 * time.Second)
@@ -31,8 +31,8 @@
 		if got := s.fleet.Starts(jobA); got != 2 {
 			t.Errorf("%d starts, want the gang's two", got)
 		}
-		if got := leaseEpoch(s); got != 2 {
-			t.Errorf("epoch %d, want one takeover", got)
+		if got := owners(s); got != 2 {
+			t.Errorf("%d owners so far, want one takeover", got)
 		}
 	})
 }
@@ -44,8 +44,8 @@
 		s.submit(s.entries[0], jobB, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
 		s.await(s.entries[1], jobB, "succeeded", 3*time.Second)
 		time.Sleep(10 * time.Second)
-		if got := leaseEpoch(s); got != 1 {
-			t.Errorf("epoch %d, want the first owner still to be the owner", got)
+		if got := owners(s); got != 1 {
+			t.Errorf("%d owners so far, want the first one still to be the owner", got)
 		}
 		s.store.SetFaults(faker.RowFaults{})
 		s.await(s.entries[1], jobA, "succeeded", 7*time.Second)
@@ -79,12 +79,18 @@
 	})
 }
 
-// leaseEpoch returns the epoch of the lease.
-func leaseEpoch(s *service) int64 {
+// fencesPerEpoch is the distance of the epochs of two successive owners.
+const fencesPerEpoch = 1 << 10
+
+// owners returns the number of owners that there have been, by the epoch of the lease.
+func owners(s *service) int64 {
 	s.t.Helper()
 	lease, err := registrar.Decode[registrar.Lease](platform.Row{Value: s.store.Rows(registrar.LeaseTable, registrar.OwnerPartition)[registrar.LeaseKey]})
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return lease.Epoch
+	if lease.Epoch%fencesPerEpoch != 0 {
+		s.t.Fatalf("epoch %d is not a multiple of %d", lease.Epoch, fencesPerEpoch)
+	}
+	return lease.Epoch / fencesPerEpoch
 }
--- a/director/session.go
+++ b/director/session.go
@@ -23,10 +23,16 @@
 
 // session is the owner's connection to one incarnation of a worker.
 type session struct {
-	term           *term
-	worker         arranger.Worker
+	term   *term
+	worker arranger.Worker
+	// ctx ends with the session.
+	ctx            context.Context //nolint:containedctx // Orders to the worker end with the session as well.
 	cancel         context.CancelFunc
 	recordedSignal chan struct{}
+	// fence is the fencing token of all requests of the session.
+	fence int64
+	// successor means that an earlier incarnation under the same ID had a session, whose requests may still arrive here until this one has responded.
+	successor bool
 
 	// The fields below are guarded by the term's mutex.
 
@@ -35,7 +41,7 @@
 	respondedAt time.Duration
 	responded   bool
 	// leasesExpire is the local time at which all leases of the worker, those of earlier owners included, have expired for certain. It is
-	// known from the beginning of the session and never moves back.
+	// known from the beginning of the session.
 	leasesExpire time.Duration
 	// lastEnded is the number of the last ended run that the worker has reported, lastRecorded that of the last one in the store.
 	lastEnded, lastRecorded int64
@@ -60,42 +66,63 @@
 		if s.worker.Incarnation == info.Incarnation || info.Incarnation == 0 || s.worker.Incarnation == 0 {
 			return
 		}
-		t.closeSession(s, "worker restarted", t.removeRestarted)
+		t.replaceSession(s, info, "worker restarted")
+		return
 	}
+	t.startSession(info)
+}
+
+// startSession starts a session with a worker that has none; the caller holds the term's mutex.
+func (t *term) startSession(info arranger.Worker) *session {
 	s := &session{term: t, worker: info, recordedSignal: make(chan struct{}, 1), listed: true, leasesExpire: t.inheritedExpiry}
+	t.beginLife(s)
 	t.sessions[info.ID] = s
-	// The session can be closed before its goroutine runs.
-	ctx := t.context(s)
+	ctx, cancel := context.WithCancel(t.baseCtx)
+	s.ctx, s.cancel = ctx, cancel
 	t.spawn(func() { s.run(ctx) })
 	t.markWorkerDirty(info.ID)
+	return s
 }
 
-// context returns a new context for a session, which ends with the term's context.
-func (t *term) context(s *session) context.Context {
-	ctx, cancel := context.WithCancel(t.baseCtx)
-	s.cancel = cancel
-	return ctx
+// replaceSession starts a session with the next incarnation of a worker in place of the present one; the caller holds the term's mutex.
+func (t *term) replaceSession(s *session, next arranger.Worker, reason string) {
+	if !t.endSession(s, reason) {
+		return
+	}
+	t.arranger.WorkerRestarted(time.Now(), next, reason, t.wasSent)
+	successor := t.startSession(next)
+	successor.listed = s.listed
+	if t.arranger.ExpectsReport(next.ID) {
+		t.arranger.ExpectReport(next.ID, time.Now().Add(successor.leasesExpire-t.now()))
+	}
 }
 
 // closeSession ends the session with an incarnation of a worker on which nothing runs any more, and removes the worker from the arranger by the given function; the caller holds the term's mutex.
 func (t *term) closeSession(s *session, reason string, remove func(id, reason string)) {
+	if t.endSession(s, reason) {
+		remove(s.worker.ID, reason)
+	}
+}
+
+// endSession ends a session, with all orders that are being sent, and returns false if it had ended before; the caller holds the term's mutex.
+func (t *term) endSession(s *session, reason string) bool {
 	if t.sessions[s.worker.ID] != s {
-		return
+		return false
 	}
 	delete(t.sessions, s.worker.ID)
-	remove(s.worker.ID, reason)
-	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Incarnation, "reason", reason)
+	t.Logger.Info("worker lost", "worker", s.worker.ID, "born", s.worker.Incarnation, "fence", s.fence, "reason", reason)
 	s.cancel()
 	t.markWorkerDirty(s.worker.ID)
 	if s.leaseEnd != 0 {
 		t.uncleared[s.worker.ID] = true
 	}
 	t.requestPlan()
+	return true
 }
 
-// removeRestarted removes a worker of which another incarnation has appeared from the arranger; the caller holds the term's mutex.
-func (t *term) removeRestarted(id, reason string) {
-	t.arranger.WorkerRestarted(time.Now(), id, reason, t.wasSent)
+// removeReplaced removes a worker at whose address another one responds from the arranger; the caller holds the term's mutex.
+func (t *term) removeReplaced(id, reason string) {
+	t.arranger.WorkerReplaced(time.Now(), id, reason, t.wasSent)
 }
 
 // removeSilent removes a worker whose leases have expired from the arranger; the caller holds the term's mutex.
@@ -112,8 +139,11 @@
 	return until
 }
 
-// leaseExpired reports whether all leases of a worker that has responded have expired for certain.
-func (s *session) leaseExpired() bool { return s.responded && s.term.now() >= s.leasesExpire }
+// leaseExpired reports whether the worker need not be kept: all leases have expired for certain, and it has responded or succeeds an incarnation
+// whose runs wait for its first report.
+func (s *session) leaseExpired() bool {
+	return (s.responded || s.successor) && s.term.now() >= s.leasesExpire
+}
 
 // restoreLeaseEnd applies the recorded end of the worker's leases, by the store's clock, which shows storeTime now.
 func (s *session) restoreLeaseEnd(leaseEnd, storeTime time.Duration) {
@@ -162,7 +192,7 @@
 	}
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
-	request := platform.PollRequest{Fence: s.term.lease.Epoch, Acknowledged: s.lastRecorded}
+	request := platform.PollRequest{Fence: s.fence, Acknowledged: s.lastRecorded}
 	if !s.responded {
 		return request, true
 	}
@@ -184,7 +214,7 @@
 		return false
 	}
 	if s.worker.Incarnation != 0 && received.Incarnation != 0 && received.Incarnation != s.worker.Incarnation {
-		t.closeSession(s, "another incarnation responded", t.removeRestarted)
+		t.replaceSession(s, t.nextIncarnation(s, received.Incarnation), "another incarnation responded")
 		return false
 	}
 	if _, known := t.arranger.Worker(s.worker.ID); !known {
@@ -194,6 +224,11 @@
 	}
 	if received.Incarnation != 0 {
 		s.worker.Incarnation = received.Incarnation
+		t.lives[s.worker.ID] = life{received.Incarnation, s.fence}
+	}
+	if !s.responded {
+		// Requests of earlier owners and sessions are rejected from now on.
+		s.leasesExpire = min(s.leasesExpire, t.now()+t.longestLease())
 	}
 	if s.failures > 0 {
 		t.Logger.Info("worker reachable again", "worker", s.worker.ID, "failures", s.failures)
@@ -290,10 +325,10 @@
 	s.failures++
 	switch {
 	case errors.Is(err, platform.ErrFenced):
-		t.Logger.Warn("request rejected by a worker that has seen a later epoch", "worker", s.worker.ID, "epoch", t.lease.Epoch)
+		t.Logger.Warn("request rejected by a worker that has seen a later epoch", "worker", s.worker.ID, "fence", s.fence)
 		t.cancel()
 	case errors.Is(err, platform.ErrInstanceMismatch):
-		t.closeSession(s, "another incarnation at its address", t.removeRestarted)
+		t.closeSession(s, "another worker at its address", t.removeReplaced)
 	case s.leaseExpired():
 		t.closeSession(s, "its leases have expired", t.removeSilent)
 	default:
--- a/director/term.go
+++ b/director/term.go
@@ -47,6 +47,8 @@
 	sessions map[string]*session
 	// uncleared are the IDs of workers whose leases may still have a recorded end in the store.
 	uncleared map[string]bool
+	// lives are the latest known incarnations of the workers, by ID.
+	lives map[string]life
 	// listed are the workers on the platform's list, by ID.
 	listed map[string]platform.Worker
 	// inheritedVersion is the version of the store up to which a previous owner may have read jobs.
@@ -68,8 +70,8 @@
 	inheritedExpiry time.Duration
 	// loaded means that the state of the previous owner has been loaded.
 	loaded bool
-	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended.
-	restartedOwner bool
+	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended, and firstOwner that there was none.
+	restartedOwner, firstOwner bool
 }
 
 // jobRecord holds the data for the progress row of a job that the arranger does not keep.
@@ -81,7 +83,7 @@
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version,
-		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
+		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, lives: map[string]life{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
 	}
 	t.arranger = arranger.New(arranger.Options{
@@ -208,7 +210,7 @@
 func (t *term) maxInheritedLease() time.Duration {
 	// A previous owner grants leases until its last renewal is maxRenewalAge old, even if another VM has acquired its lease meanwhile.
 	overlap := maxRenewalAge - leaseTimeout
-	if t.restartedOwner || t.lease.Epoch == 1 {
+	if t.restartedOwner || t.firstOwner {
 		overlap = 0
 	}
 	return time.Duration(float64(overlap+t.leaseDuration())*clockDriftFactor) + leaseExpiryMargin
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"context"
 	"slices"
 
 	"github.com/snipelift/snipelift/arranger"
@@ -22,7 +21,7 @@
 }
 
 // recordStarts sends the starts whose workers are recorded, and schedules a write of the other workers, whose starts are sent when it is confirmed; the caller holds the term's mutex.
-func (t *term) recordStarts(ctx context.Context, orders []arranger.StartOrder) {
+func (t *term) recordStarts(orders []arranger.StartOrder) {
 	if len(orders) == 0 {
 		return
 	}
@@ -39,7 +38,7 @@
 	incomplete := gangsWithout(orders, isRecorded)
 	for _, order := range orders {
 		if isRecorded(order) && !incomplete[gangOf(order)] {
-			t.sendStart(ctx, order)
+			t.sendStart(order)
 			continue
 		}
 		t.unsent[order.Task.Job] = append(t.unsent[order.Task.Job], unsentStart{order: order, change: change})
@@ -106,7 +105,7 @@
 }
 
 // sendRecorded sends the starts whose workers the batch has recorded; the caller holds the term's mutex.
-func (t *term) sendRecorded(ctx context.Context, b batch) {
+func (t *term) sendRecorded(b batch) {
 	for _, id := range b.jobs {
 		var recorded []arranger.StartOrder
 		waiting := t.unsent[id][:0]
@@ -120,19 +119,19 @@
 		if t.unsent[id] = waiting; len(waiting) == 0 {
 			delete(t.unsent, id)
 		}
-		t.sendWanted(ctx, recorded)
+		t.sendWanted(recorded)
 	}
 }
 
 // sendWanted sends those starts of a job whose decision still holds: a worker may have been lost or have begun to drain since. A gang is sent whole or not at all.
-func (t *term) sendWanted(ctx context.Context, orders []arranger.StartOrder) {
+func (t *term) sendWanted(orders []arranger.StartOrder) {
 	unwanted := gangsWithout(orders, t.isWanted)
 	for _, order := range orders {
 		if unwanted[gangOf(order)] || !t.isWanted(order) {
 			t.withdraw(order, "worker drains or has shrunk, or run is stopped")
 			continue
 		}
-		t.sendStart(ctx, order)
+		t.sendStart(order)
 	}
 }
 
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -24,7 +24,7 @@
 	if len(starts) != 1 {
 		t.Fatalf("got %d starts, want one", len(starts))
 	}
-	owner.recordStarts(context.Background(), starts)
+	owner.recordStarts(starts)
 	return owner, starts[0]
 }
 
@@ -73,7 +73,7 @@
 
 func TestABatchFromBeforeADecisionDoesNotReleaseItsStart(t *testing.T) {
 	owner, start := newUnsentTerm(t)
-	owner.sendRecorded(context.Background(), batch{jobs: []string{start.Task.Job}, lastChange: owner.unsent[start.Task.Job][0].change - 1})
+	owner.sendRecorded(batch{jobs: []string{start.Task.Job}, lastChange: owner.unsent[start.Task.Job][0].change - 1})
 	if len(owner.unsent[start.Task.Job]) != 1 {
 		t.Error("the start was sent before its worker was recorded")
 	}
@@ -174,7 +174,7 @@
 			orders = append(orders, arranger.StartOrder{Task: arranger.TaskName{Job: "job", Index: i}, Run: 7, Worker: worker, Gang: true})
 		}
 		// The sessions have had no response, so that nothing is really sent.
-		owner.recordStarts(context.Background(), orders)
+		owner.recordStarts(orders)
 		if got := len(owner.unsent["job"]); got != test.unsent {
 			t.Errorf("recorded on %v: %d starts wait, want %d", test.recorded, got, test.unsent)
 		}
@@ -202,7 +202,7 @@
 	}, arranger.Progress{}, false)
 	owner.arranger.Plan(now)
 	starts := owner.arranger.TakeOrders().Starts
-	owner.recordStarts(context.Background(), starts)
+	owner.recordStarts(starts)
 	w, _ := owner.arranger.Worker(starts[1].Worker)
 	w.Draining = true
 	owner.arranger.SetWorker(time.Now(), w)
--- a/director/writer.go
+++ b/director/writer.go
@@ -477,7 +477,7 @@
 		}
 	}
 	t.confirmWrites(b.jobs)
-	t.sendRecorded(t.baseCtx, b)
+	t.sendRecorded(b)
 	t.mu.Unlock()
 }
 
--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -106,6 +106,9 @@
 // Crashes returns the highest number of workers that one task of the job has crashed.
 func (f *TaskFleet) Crashes(job string) int { return f.mostOfATask(job, f.crashes) }
 
+// LostUnder returns the highest number of incarnations of workers that ended while they ran the same task of the job.
+func (f *TaskFleet) LostUnder(job string) int { return f.mostOfATask(job, f.lostUnder) }
+
 // mostOfATask returns the highest count of a task of the job.
 func (f *TaskFleet) mostOfATask(job string, counts map[string]int) int {
 	f.mu.Lock()
@@ -169,7 +172,14 @@
 	w.lostReplies = count
 }
 
-// DelayStarts makes the worker leave the next count start requests unanswered and execute them after the delay.
+// DelayPolls makes the worker leave the next count polls unanswered and execute them after the delay, in the incarnation that it has then.
+func (w *TaskWorker) DelayPolls(count int, delay time.Duration) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.delayedPolls, w.pollDelay = count, delay
+}
+
+// DelayStarts makes the worker leave the next count start requests unanswered and execute them after the delay, in the incarnation that it has then.
 func (w *TaskWorker) DelayStarts(count int, delay time.Duration) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -31,6 +31,8 @@
 	failed map[string]int
 	// crashes are the workers that each task has crashed, startsAfter its starts after crashBudget of them.
 	crashes, startsAfter map[string]int
+	// lostUnder are the incarnations of workers that ended while they ran the task.
+	lostUnder map[string]int
 	// running are the workers on which each task runs, gangs the runs with the same job and number.
 	running map[string]map[*TaskWorker]bool
 	gangs   map[gangRun]map[*taskRun]*TaskWorker
@@ -66,7 +68,7 @@
 func NewTaskFleet() *TaskFleet {
 	return &TaskFleet{
 		workers: map[string]*TaskWorker{}, jobs: map[string]TaskJob{}, done: map[string]bool{}, doneTasks: map[string]int{}, started: map[string]time.Time{},
-		starts: map[string]int{}, failed: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
+		starts: map[string]int{}, failed: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}, lostUnder: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
 	}
 }
 
@@ -129,12 +131,15 @@
 	rack         string
 
 	// The fleet's lock guards the fields below.
-	startedAt     time.Time
-	incarnation   int64
-	lease         time.Duration
-	fence         int64
-	runs          map[string]*taskRun
-	lastRun       map[string]int64
+	startedAt   time.Time
+	incarnation int64
+	lease       time.Duration
+	fence       int64
+	runs        map[string]*taskRun
+	lastRun     map[string]int64
+	// highestFence and settledRuns are the fence and the last runs of all incarnations.
+	highestFence  int64
+	settledRuns   map[string]int64
 	endedRuns     []endedRun
 	lastEndNumber int64
 	silent        bool
@@ -149,7 +154,10 @@
 	// delayedStarts is the number of start requests that are left unanswered and executed startDelay later.
 	delayedStarts int
 	startDelay    time.Duration
-	changed       chan struct{}
+	// delayedPolls is the number of polls that are left unanswered and executed pollDelay later.
+	delayedPolls int
+	pollDelay    time.Duration
+	changed      chan struct{}
 }
 
 // Add adds a worker to the fleet and returns it.
@@ -170,8 +178,16 @@
 	defer w.fleet.mu.Unlock()
 	w.startedAt = time.Now()
 	w.incarnation = w.startedAt.UnixMilli()
+	if w.settledRuns == nil {
+		w.settledRuns = map[string]int64{}
+	}
+	w.highestFence = max(w.highestFence, w.fence)
+	for task, run := range w.lastRun {
+		w.settledRuns[task] = max(w.settledRuns[task], run)
+	}
 	w.lease, w.fence, w.endedRuns, w.lastEndNumber = 0, 0, nil, 0
 	for _, run := range w.runs {
+		w.fleet.lostUnder[run.name]++
 		w.remove(run)
 		w.fleet.breakGang(run)
 	}
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// maxLease is the longest lease that a worker grants.
+const maxLease = 10 * time.Second
+
 type taskRequest struct {
 	Task       string `json:"task"`
 	Run        int64  `json:"run"`
@@ -62,7 +65,7 @@
 		return false
 	}
 	w.fence = request.Fence
-	w.lease = max(w.lease, time.Duration(request.DeadlineMs)*time.Millisecond)
+	w.lease = max(w.lease, min(time.Duration(request.DeadlineMs)*time.Millisecond, w.clock()+maxLease))
 	return true
 }
 
@@ -75,7 +78,9 @@
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
 			w.endDueRuns()
-			w.startTask(unread{}, request)
+			if !w.settled(request) {
+				w.startTask(unread{}, request)
+			}
 		})
 		w.fleet.mu.Unlock()
 		<-r.Context().Done()
@@ -97,6 +102,12 @@
 	w.respond(rw, status, map[string]any{"reason": reason})
 }
 
+// settled reports whether an earlier incarnation has fenced off a start or ended its run. No owner can keep a later one from executing it
+// before the first request to that, so it is not executed; the caller holds the fleet's lock.
+func (w *TaskWorker) settled(request taskRequest) bool {
+	return request.Fence < w.highestFence || request.Run <= w.settledRuns[request.Task]
+}
+
 // unread is the writer of a response that nobody waits for.
 type unread struct{}
 
@@ -123,23 +134,52 @@
 	w.respond(rw, http.StatusOK, map[string]any{})
 }
 
+// poll applies a poll to the worker's lease and its ended runs, and returns false if its fence is old; the caller holds the fleet's lock.
+func (w *TaskWorker) poll(rw http.ResponseWriter, request taskRequest) bool {
+	w.endDueRuns()
+	if !w.admit(rw, request) {
+		return false
+	}
+	for len(w.endedRuns) > 0 && w.endedRuns[0].number <= request.AckedUpto {
+		w.fleet.acknowledge(w.endedRuns[0])
+		w.endedRuns = w.endedRuns[1:]
+	}
+	return true
+}
+
+// delayPoll executes a poll later if it is to be left unanswered, and reports whether it is; the caller holds the fleet's lock.
+func (w *TaskWorker) delayPoll(request taskRequest) bool {
+	if w.delayedPolls == 0 {
+		return false
+	}
+	w.delayedPolls--
+	time.AfterFunc(w.pollDelay, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		w.poll(unread{}, request)
+	})
+	return true
+}
+
 func (w *TaskWorker) servePoll(rw http.ResponseWriter, r *http.Request, request taskRequest) {
+	w.fleet.mu.Lock()
+	delayed, incarnation := w.delayPoll(request), w.incarnation
+	w.fleet.mu.Unlock()
+	if delayed {
+		<-r.Context().Done()
+		return
+	}
 	until := time.Now().Add(time.Duration(request.WaitMs) * time.Millisecond)
 	for {
 		w.fleet.mu.Lock()
-		if w.crashed {
+		if w.crashed || w.incarnation != incarnation {
 			w.fleet.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		w.endDueRuns()
-		if !w.admit(rw, request) {
+		if !w.poll(rw, request) {
 			w.fleet.mu.Unlock()
 			return
 		}
-		for len(w.endedRuns) > 0 && w.endedRuns[0].number <= request.AckedUpto {
-			w.fleet.acknowledge(w.endedRuns[0])
-			w.endedRuns = w.endedRuns[1:]
-		}
 		if len(w.endedRuns) > 0 || !time.Now().Before(until) {
 			break
 		}
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -112,7 +112,7 @@
 	Node string `json:"node"`
 	// Incarnation distinguishes the processes of one VM.
 	Incarnation string `json:"incarnation"`
-	// Epoch is the fencing token of the owner's requests to workers.
+	// Epoch is the fencing token of the owner's requests to workers; those to later incarnations of a worker have higher ones, below the next owner's epoch.
 	Epoch    int64 `json:"epoch"`
 	Released bool  `json:"released,omitempty"`
 	// Renewal increases with each write of this owner.
