arranger: Blame a crash only on runs known to have been there

Cause: attributeInheritedCrashes suspected each ready task of a job that was found nowhere; a new owner had a record of workers but none of runs. Within a term each start counted as a run from the moment it was sent.

Change: a crash counts against a run only if the lost incarnation had confirmed its start or listed it. The progress of a job names the runs that a worker has confirmed and not reported yet; a new owner that finds another incarnation suspects just these, once all reports are in and unless many workers were lost. This replaces the trials of suspected tasks, which were written before the start. Why it works: nothing is blamed without a record of its presence.

TestCrashesBetweenOwnersCountOnceForATask wanted tasks without any record of a run to be suspected, which is the fault; it now gives the record, and wants exactly the recorded tasks to be suspected and no others, which is stricter.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -32,7 +32,7 @@
 	// awaitedReports maps workers on which a previous owner may have started tasks to the time when the last
 	// lease there has expired.
 	awaitedReports map[string]time.Time
-	// silentLosses holds workers that were removed without an answer, trials the suspected tasks that a previous owner started on a worker, both by
+	// silentLosses holds workers that were removed without an answer, trials the tasks with confirmed runs of a previous owner on a worker, both by
 	// the ID of the worker.
 	silentLosses map[string]silentLoss
 	trials       map[string][]*task
@@ -111,11 +111,6 @@
 		if j.workersUnknown {
 			a.dirty[j.ID] = true
 		}
-		for _, id := range j.inheritedWorkers {
-			if crash, crashed := a.inheritedCrashes[id]; crashed {
-				j.inheritedCrashes = append(j.inheritedCrashes, crash)
-			}
-		}
 	}
 	j.criticalPath = criticalPathOf(j.Steps)
 	j.deadline = j.Accepted.Add(time.Duration(j.Policy.Stretch*float64(j.criticalPath)) + j.Policy.Objective)
@@ -124,7 +119,6 @@
 	a.createDueOccurrences(j, now)
 	a.createOccurrencesThrough(j, progress.lastOccurrence())
 	a.restore(j, progress)
-	a.settleRestored(now, j)
 	a.markReadyStages(j, now)
 	a.finishIfDone(j)
 }
--- a/arranger/crash.go
+++ b/arranger/crash.go
@@ -59,6 +59,11 @@
 	return slices.ContainsFunc(t.crashes, func(crash string) bool { return strings.HasPrefix(crash, worker+"@") })
 }
 
+// known reports whether the run is known to have been on the present incarnation of its worker, which has confirmed its start or listed it.
+func (p *place) known() bool {
+	return p.state != placeClaimed && (!p.startedAt.IsZero() || !p.requestedAt.IsZero())
+}
+
 // proven reports whether the run has shown that it does not crash its worker at once.
 func (p *place) proven() bool {
 	return !p.requestedAt.IsZero() && (!p.task.suspected() || p.requestedAt.Sub(p.placedAt) >= probation)
@@ -121,25 +126,26 @@
 }
 
 // WorkerReplaced removes a worker at whose address another one responds, so that all runs on it are lost, and suspects the runs that
-// may have crashed it; wasSent reports whether the start of a run was sent to the worker.
-func (a *Arranger) WorkerReplaced(now time.Time, id, reason string, wasSent func(name TaskName, run int64) bool) {
+// may have crashed it.
+func (a *Arranger) WorkerReplaced(now time.Time, id, reason string) {
 	w := a.workers[id]
 	if w == nil {
 		return
 	}
-	crashes := a.crashesOf(now, w, wasSent)
+	crashes := a.crashesOf(now, w)
 	a.removeWorker(id, reason)
 	a.attributeCrashes(now, w, crashes)
 }
 
 // WorkerRestarted replaces a worker by its next incarnation. A start that was sent to the earlier one may be executed by the next one, so the runs
 // stay in their places there, and only its first report tells which are lost. The runs that may have crashed the earlier one are suspected then.
+// wasSent reports whether the start of a run was sent; nil means that all were.
 func (a *Arranger) WorkerRestarted(now time.Time, next Worker, reason string, wasSent func(name TaskName, run int64) bool) {
 	w := a.workers[next.ID]
 	if w == nil {
 		return
 	}
-	successor := &worker{Worker: next, orphans: map[string]Resources{}, joinedAt: now, earlierCrashes: a.crashesOf(now, w, wasSent)}
+	successor := &worker{Worker: next, orphans: map[string]Resources{}, joinedAt: now, earlierCrashes: a.crashesOf(now, w)}
 	a.workers[next.ID] = successor
 	a.sortedWorkers[slices.Index(a.sortedWorkers, w)] = successor
 	a.changed = true
@@ -148,7 +154,7 @@
 	for _, p := range places {
 		p.worker = successor
 		successor.places = append(successor.places, p)
-		p.confirmedAt, p.requestedAt, p.fencedOff = now.Add(-time.Nanosecond), time.Time{}, true
+		p.confirmedAt, p.startedAt, p.requestedAt, p.fencedOff = now.Add(-time.Nanosecond), time.Time{}, time.Time{}, true
 	}
 	for _, p := range places {
 		switch {
@@ -172,25 +178,18 @@
 }
 
 // crashesOf returns the crash of the worker, beside those of its earlier incarnations that have not been attributed yet.
-func (a *Arranger) crashesOf(now time.Time, w *worker, wasSent func(name TaskName, run int64) bool) []pendingCrash {
-	id := w.ID
-	crash := Trial{Worker: id, Incarnation: w.Incarnation}
+func (a *Arranger) crashesOf(now time.Time, w *worker) []pendingCrash {
+	crash := Trial{Worker: w.ID, Incarnation: w.Incarnation}
 	lostAt := now
 	if w.reachable {
 		a.recordLoss(now, w)
 	} else if !w.lostContactAt.IsZero() {
 		lostAt = w.lostContactAt
 	}
-	suspects := w.crashSuspects(lostAt, wasSent)
-	if a.hasCommonCause(lostAt, id) {
+	suspects := w.crashSuspects(lostAt)
+	if a.hasCommonCause(lostAt, w.ID) {
 		suspects = withoutCoincidences(suspects)
 	}
-	for _, t := range a.trials[id] {
-		if t.trial != nil && (t.trial.Incarnation == w.Incarnation || w.Incarnation == 0) {
-			// The time of the start is not known.
-			suspects = append(suspects, suspect{t, true})
-		}
-	}
 	a.logLostRuns(w, suspects)
 	if !w.Leaving && !w.hasReported && w.Incarnation != 0 {
 		a.inheritCrash(crash)
@@ -201,14 +200,14 @@
 	return append(w.earlierCrashes, pendingCrash{crash, suspects})
 }
 
-// crashSuspects returns the tasks whose runs may have crashed the worker: those that it has not proven, or else those that started
-// recently.
-func (w *worker) crashSuspects(lostAt time.Time, wasSent func(name TaskName, run int64) bool) []suspect {
+// crashSuspects returns the tasks whose runs may have crashed the worker: of those known to have been there, the ones that it has not proven, or else
+// those that started recently.
+func (w *worker) crashSuspects(lostAt time.Time) []suspect {
 	var unproven, recent []suspect
 	for _, p := range w.places {
-		prompt := p.startedAt.IsZero() && !p.adopted || !p.startedAt.IsZero() && lostAt.Sub(p.startedAt) <= promptCrash
+		prompt := !p.startedAt.IsZero() && lostAt.Sub(p.startedAt) <= promptCrash
 		switch {
-		case p.state == placeClaimed || wasSent != nil && !wasSent(p.task.name(), p.run):
+		case !p.known():
 		case !p.proven():
 			unproven = append(unproven, suspect{p.task, prompt})
 		case p.requestedAt.Sub(p.placedAt) < recentStart:
@@ -243,7 +242,7 @@
 // recordLoss records that contact with a worker was lost, unless a run that it has not proven may be the cause.
 func (a *Arranger) recordLoss(now time.Time, w *worker) {
 	a.losses = slices.DeleteFunc(a.losses, func(l workerLoss) bool { return now.Sub(l.at) > lossMemory })
-	if !slices.ContainsFunc(w.places, func(p *place) bool { return p.state != placeClaimed && !p.proven() }) {
+	if !slices.ContainsFunc(w.places, func(p *place) bool { return p.known() && !p.proven() }) {
 		a.losses = append(a.losses, workerLoss{w.ID, now})
 	}
 }
@@ -299,7 +298,7 @@
 	maps.DeleteFunc(a.silentLosses, func(_ string, l silentLoss) bool { return now.Sub(l.removedAt) > silentMemory })
 	var suspects []suspect
 	for _, p := range w.places {
-		if p.state != placeClaimed && !p.proven() {
+		if p.known() && !p.proven() {
 			suspects = append(suspects, suspect{task: p.task})
 		}
 	}
--- a/arranger/crash_test.go
+++ b/arranger/crash_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -37,15 +38,15 @@
 	incarnations,
 	ends map[string]int64
 	backAt map[string]time.Time
-	// crashes counts the crashes by each task, late its starts after the third.
-	crashes, late map[string]int
+	// crashes counts the crashes by each task, late its starts after the third, and lostUnder the workers that crashed while they ran it.
+	crashes, late, lostUnder map[string]int
 }
 
 func newCrashWorld(t *testing.T, seed uint64) *crashWorld {
 	t.Helper()
 	w := &crashWorld{
 		harness: newHarness(t, 4, 6), random: rand.New(rand.NewPCG(seed, 31)), deadly: map[string]bool{}, runs: map[string][]crashRun{},
-		incarnations: map[string]int64{}, ends: map[string]int64{}, backAt: map[string]time.Time{}, crashes: map[string]int{}, late: map[string]int{},
+		incarnations: map[string]int64{}, ends: map[string]int64{}, backAt: map[string]time.Time{}, crashes: map[string]int{}, late: map[string]int{}, lostUnder: map[string]int{},
 	}
 	w.crashAfter = []time.Duration{0, 0, 500 * time.Millisecond, 2 * time.Second}[w.random.IntN(4)]
 	for _, worker := range w.sortedWorkers {
@@ -64,12 +65,19 @@
 	w.runs[id] = nil
 	w.SetReachable(w.now, id, false)
 	for _, run := range lost {
+		w.lostUnder[run.order.Task.String()]++
 		if run.order.Gang {
 			w.breakGang(run)
 		}
 	}
 }
 
+// crashUnnoticed ends a worker that the owner takes for reachable until it does not answer a start.
+func (w *crashWorld) crashUnnoticed(id string) {
+	w.crash(id)
+	w.SetReachable(w.now, id, true)
+}
+
 // breakGang ends the other members of a gang that has lost a run.
 func (w *crashWorld) breakGang(lost crashRun) {
 	for _, id := range w.ids() {
@@ -223,6 +231,46 @@
 	}
 }
 
+// A start that a crashed worker had not answered counted as a crash under its task, so that waves of crashes gave up jobs that had run on none of
+// the workers.
+func TestJobsAreGivenUpOnlyIfWorkersAreLostUnderThem(t *testing.T) {
+	const (
+		seeds, ticks, jobs = 60, 900, 60
+		// mayGiveUp is the number of workers that may be lost under a task before its job may be given up.
+		mayGiveUp = 2
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newCrashWorld(t, seed)
+			for i := range ticks {
+				if i%10 == 0 && i/10 < jobs {
+					w.AddJob(w.now, jobOf(fmt.Sprintf("%016x", i), w.random.IntN(3), single(1+w.random.IntN(8), 1+w.random.IntN(2))), Progress{}, false)
+				}
+				if i%20 == 0 {
+					for _, id := range w.ids() {
+						if w.random.IntN(4) == 0 {
+							w.crashUnnoticed(id)
+						}
+					}
+				}
+				w.step(i)
+			}
+			for i := range jobs {
+				id := fmt.Sprintf("%016x", 10*i)
+				most := 0
+				for task, count := range w.lostUnder {
+					if strings.HasPrefix(task, id) {
+						most = max(most, count)
+					}
+				}
+				if w.Progress(id).State == Failed && most < mayGiveUp {
+					t.Errorf("job %s is failed after %d workers were lost under one of its tasks", id, most)
+				}
+			}
+		})
+	}
+}
+
 // A rack that crashed while the owner changed counted as several crashes under each waiting task of a job that had run there.
 func TestCrashesBetweenOwnersCountOnceForATask(t *testing.T) {
 	for _, test := range []struct {
@@ -236,7 +284,11 @@
 				h.SetWorker(h.now, Worker{ID: id, Incarnation: 1, Service: "tabulator", Rack: "r1-0", Labels: []string{"a"}, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}})
 				ids = append(ids, id)
 			}
-			h.AddJob(h.now, jobOf("job", 1, single(8, 4)), Progress{State: Running, Workers: ids[:test.workers]}, true)
+			confirmed := map[string][]string{}
+			for i, id := range ids[:test.workers] {
+				confirmed[id+"@1"] = []string{fmt.Sprintf("0.0.%d", i)}
+			}
+			h.AddJob(h.now, jobOf("job", 1, single(8, 4)), Progress{State: Running, Workers: ids[:test.workers], Confirmed: confirmed}, true)
 			for _, id := range ids[:test.workers] {
 				info, _ := h.Worker(id)
 				info.Incarnation = 2
@@ -250,13 +302,14 @@
 			if p.State != Running {
 				t.Fatalf("the job is %s", p.State)
 			}
-			for name, task := range p.Tasks {
-				if len(task.Crashes) > test.want {
-					t.Errorf("task %s is suspected of %d crashes, want at most %d", name, len(task.Crashes), test.want)
+			for i := range 8 {
+				want := 0
+				if i < test.workers {
+					want = test.want
+				}
+				if got := len(p.Tasks[fmt.Sprintf("0.0.%d", i)].Crashes); got != want {
+					t.Errorf("task %d is suspected of %d crashes, want %d", i, got, want)
 				}
-			}
-			if got := len(p.Tasks) > 0; got != (test.want > 0) {
-				t.Errorf("tasks are suspected: %t", got)
 			}
 		})
 	}
@@ -283,10 +336,10 @@
 			t.Fatalf("suspected of %v after running for 12 s", crashes)
 		}
 		// The next run crashes its worker at once, by chance.
-		h.WorkerReplaced(h.now, start.Worker, "restarted", nil)
+		h.WorkerReplaced(h.now, start.Worker, "restarted")
 		o = h.planAfter(0)
 		h.confirmStarts(o)
-		h.WorkerReplaced(h.now, o.Starts[0].Worker, "restarted", nil)
+		h.WorkerReplaced(h.now, o.Starts[0].Worker, "restarted")
 		for _, w := range []string{start.Worker, o.Starts[0].Worker} {
 			h.addWorker(w, "r1-0")
 		}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -22,7 +22,6 @@
 	a.changed = a.changed || w.Draining != info.Draining || w.Capacity != info.Capacity
 	w.Worker = info
 	a.resolveSilentLoss(now, info)
-	a.resolveTrials(now, w)
 }
 
 // ExpectReport delays inherited jobs until the worker has reported, or until the given time, when the leases of
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -221,10 +221,8 @@
 	// Speed is the rated speed of the worker relative to the average.
 	Speed float64
 	// Gang means that the task works only together with the other tasks of its step.
-	Gang bool
-	// Suspected means that workers have crashed under the task, so that the start has to be recorded before it is sent.
-	Suspected bool
-	Reason    string
+	Gang   bool
+	Reason string
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -296,7 +296,7 @@
 		ticket, _ := p.task.stage.ticketFor(p.worker, now)
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
 			Task: p.task.name(), Run: run, Worker: p.worker.ID, Speed: p.worker.speed(), Ticket: ticket,
-			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Suspected: p.task.suspected(), Reason: reason,
+			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Reason: reason,
 		})
 	}
 }
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -18,6 +18,9 @@
 	Tasks map[string]TaskProgress `json:"tasks,omitempty"`
 	// Workers are the IDs of the workers on which runs of the job may exist.
 	Workers []string `json:"workers,omitempty"`
+	// Confirmed maps incarnations of workers, as WORKER@INCARNATION, to the tasks, as OCCURRENCE.STEP.INDEX, whose start they have
+	// confirmed and whose runs they had not reported yet.
+	Confirmed map[string][]string `json:"confirmed,omitempty"`
 	// WorkersUnknown means that the record could not be read, so that runs may exist on any worker.
 	WorkersUnknown bool `json:"-"`
 }
@@ -29,8 +32,6 @@
 	Checkpoint string  `json:"checkpoint,omitempty"`
 	// Crashes are the incarnations of workers, as WORKER@INCARNATION, that crashed under suspected runs.
 	Crashes []string `json:"crashes,omitempty"`
-	// Trial is a start of a task with crashes whose outcome is not known.
-	Trial *Trial `json:"trial,omitempty"`
 }
 
 // lastOccurrence returns the highest occurrence with recorded progress, or -1.
@@ -51,7 +52,7 @@
 	return last
 }
 
-// WithoutCheckpoints returns a copy of the progress in which Tasks holds only failed runs and crashes.
+// WithoutCheckpoints returns a copy of the progress in which Tasks holds only failed runs and crashes, without confirmed runs.
 func (p Progress) WithoutCheckpoints() Progress {
 	kept := map[string]TaskProgress{}
 	for name, t := range p.Tasks {
@@ -60,7 +61,7 @@
 			kept[name] = t
 		}
 	}
-	p.Tasks = kept
+	p.Tasks, p.Confirmed = kept, nil
 	return p
 }
 
@@ -79,6 +80,12 @@
 			p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.stepNumber)] = bits
 		}
 		for _, t := range s.tasks {
+			if trial := t.trialToRecord(); trial != nil && !t.done {
+				if p.Confirmed == nil {
+					p.Confirmed = map[string][]string{}
+				}
+				p.Confirmed[trial.String()] = append(p.Confirmed[trial.String()], t.key())
+			}
 			if t.done || (len(t.failedRuns) == 0 && t.checkpoint == "" && !t.suspected()) {
 				continue
 			}
@@ -86,7 +93,7 @@
 				p.Tasks = map[string]TaskProgress{}
 			}
 			p.Tasks[t.key()] = TaskProgress{
-				FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes), Trial: t.trialToRecord(),
+				FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: slices.Clone(t.crashes),
 			}
 		}
 	}
@@ -155,7 +162,11 @@
 			}
 			kept := p.Tasks[t.key()]
 			t.failedRuns, t.checkpoint = slices.Clone(kept.FailedRuns), kept.Checkpoint
-			a.restoreCrashes(t, kept)
+			if len(kept.Crashes) > 0 {
+				t.crashes = slices.Clone(kept.Crashes)
+				s.suspects++
+			}
 		}
 	}
+	a.restoreTrials(j, p.Confirmed)
 }
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -41,7 +41,7 @@
 	w.hasReported = true
 	w.reachable = true
 	delete(a.awaitedReports, w.ID)
-	defer a.forgetTrials(w.ID)
+	defer a.forgetTrials(w)
 	for _, e := range r.Ended {
 		if e.Number > w.lastEndNumber {
 			w.lastEndNumber = e.Number
@@ -369,6 +369,7 @@
 	if p.state == placeStarting {
 		p.state = placeRunning
 		p.confirmedAt, p.startedAt = now, now
+		a.dirty[p.task.stage.job.ID] = true
 	}
 	p.worker.unanswered = unansweredStarts{}
 	a.markStarted(p.task.stage.job)
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -63,7 +63,7 @@
 	failedOn map[string]bool
 	// crashes are the incarnations of workers, as WORKER@INCARNATION, that crashed under suspected runs of the task.
 	crashes []string
-	// trial is a start of the task by a previous owner of which it is not known whether it crashed the worker.
+	// trial is a confirmed run of the task by a previous owner of which it is not known whether it crashed the worker.
 	trial *Trial
 }
 
@@ -114,8 +114,6 @@
 	// inherited means that a previous owner may have started tasks of the job, on inheritedWorkers if it recorded them.
 	inherited        bool
 	inheritedWorkers []string
-	// inheritedCrashes are the crashes of such workers that the previous owner had not recorded.
-	inheritedCrashes []Trial
 	// workersUnknown means that the record of its workers could not be read.
 	workersUnknown bool
 	sequence       int
--- a/arranger/trial.go
+++ b/arranger/trial.go
@@ -1,111 +1,133 @@
 package arranger
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
-// The crashes under a task outlive the owner. They are part of the progress of
-// its job, and so is a start of a suspected task until it is proven, so that
-// the next owner can tell whether it crashed the worker.
+// What an owner knows of the runs on a worker outlives it: the progress of a
+// job names the runs that a worker has confirmed and not reported yet. If the
+// next owner finds another incarnation there, these runs, and no others, are
+// known to have been there when it crashed.
 
-// Trial is a start of a suspected task on an incarnation of a worker.
+// Trial is a run that is known to be on an incarnation of a worker, but not yet to leave it unharmed.
 type Trial struct {
-	Worker      string `json:"worker"`
-	Incarnation int64  `json:"born"`
+	Worker      string
+	Incarnation int64
 }
 
 func (r Trial) String() string { return fmt.Sprintf("%s@%d", r.Worker, r.Incarnation) }
 
-// restoreCrashes applies the recorded crashes of a task, and expects to learn what became of a recorded trial.
-func (a *Arranger) restoreCrashes(t *task, recorded TaskProgress) {
-	if len(recorded.Crashes) > 0 {
-		t.crashes = slices.Clone(recorded.Crashes)
-		t.stage.suspects++
-	}
-	if recorded.Trial == nil || t.done {
-		return
+// errBadTrial means that a text names no incarnation of a worker.
+var errBadTrial = errors.New("not an incarnation of a worker")
+
+// parseTrial parses the text form of a trial.
+func parseTrial(text string) (Trial, error) {
+	i := strings.LastIndexByte(text, '@')
+	incarnation, err := strconv.ParseInt(text[i+1:], 10, 64)
+	if i <= 0 || err != nil {
+		return Trial{}, fmt.Errorf("%w: %q", errBadTrial, text)
 	}
-	trial := *recorded.Trial
-	t.trial = &trial
-	a.trials[trial.Worker] = append(a.trials[trial.Worker], t)
+	return Trial{Worker: text[:i], Incarnation: incarnation}, nil
 }
 
-// settleRestored settles the recorded trials of a job on workers that have restarted since.
-func (a *Arranger) settleRestored(now time.Time, j *job) {
+// restoreTrials expects to learn what became of the confirmed runs of a job.
+func (a *Arranger) restoreTrials(j *job, confirmed map[string][]string) {
+	if len(confirmed) == 0 {
+		return
+	}
+	tasks := map[string]*task{}
 	for _, s := range j.stages {
 		for _, t := range s.tasks {
-			if t.trial == nil {
-				continue
-			}
-			if w := a.workers[t.trial.Worker]; w != nil {
-				a.resolveTrials(now, w)
-			}
-			if j.state.Final() {
-				return
+			tasks[t.key()] = t
+		}
+	}
+	for _, text := range slices.Sorted(maps.Keys(confirmed)) {
+		trial, err := parseTrial(text)
+		if err != nil {
+			a.options.Log("confirmed runs unreadable", "job", j.ID, "error", err.Error())
+			continue
+		}
+		for _, key := range confirmed[text] {
+			if t := tasks[key]; t != nil && !t.done {
+				t.trial = &trial
+				a.trials[trial.Worker] = append(a.trials[trial.Worker], t)
 			}
 		}
 	}
 }
 
-// resolveTrials settles the trials of a previous owner on a worker that has another incarnation now.
-func (a *Arranger) resolveTrials(now time.Time, w *worker) {
-	for _, t := range a.trials[w.ID] {
-		if t.trial != nil && w.Incarnation != 0 && t.trial.Incarnation != 0 && t.trial.Incarnation != w.Incarnation {
-			a.attributeCrash(now, *t.trial, []suspect{{t, true}})
+// forgetTrials drops the trials of a previous owner on an incarnation of a worker that has reported what runs there.
+func (a *Arranger) forgetTrials(w *worker) {
+	a.keepTrials(w.ID, func(t *task) bool {
+		if t.trial != nil && (t.trial.Incarnation == w.Incarnation || t.trial.Incarnation == 0 || w.Incarnation == 0) {
+			t.trial = nil
 		}
-	}
+		return t.trial != nil
+	})
 }
 
-// forgetTrials drops the trials of a previous owner on a worker that has reported what runs there.
-func (a *Arranger) forgetTrials(id string) {
-	for _, t := range a.trials[id] {
-		t.trial = nil
+// keepTrials keeps those trials on a worker for which the condition holds.
+func (a *Arranger) keepTrials(id string, condition func(t *task) bool) {
+	kept := slices.DeleteFunc(a.trials[id], func(t *task) bool { return !condition(t) })
+	if a.trials[id] = kept; len(kept) == 0 {
+		delete(a.trials, id)
 	}
-	delete(a.trials, id)
 }
 
-// trialToRecord returns the start of a suspected task whose outcome the next owner has to find out, or nil.
+// trialToRecord returns a run of the task of which the next owner has to know if its worker crashes, or nil.
 func (t *task) trialToRecord() *Trial {
-	if p := t.place; p != nil && t.suspected() && p.state != placeClaimed && !p.proven() {
+	if p := t.place; p != nil && p.known() && !p.proven() {
 		return &Trial{Worker: p.worker.ID, Incarnation: p.worker.Incarnation}
 	}
 	return t.trial
 }
 
-// inheritCrash notes for the jobs of a previous owner that a worker has crashed on which they may have had runs.
-func (a *Arranger) inheritCrash(crash Trial) {
-	a.inheritedCrashes[crash.Worker] = crash
-	for _, j := range a.active {
-		if j.inherited && slices.Contains(j.inheritedWorkers, crash.Worker) {
-			j.inheritedCrashes = append(j.inheritedCrashes, crash)
-		}
+// inheritCrash notes that a worker has crashed that had not reported to this owner.
+func (a *Arranger) inheritCrash(crash Trial) { a.inheritedCrashes[crash.Worker] = crash }
+
+// hasCrashed reports whether the incarnation of the worker is known to have ended.
+func (a *Arranger) hasCrashed(r Trial) bool {
+	if a.inheritedCrashes[r.Worker] == r {
+		return true
 	}
+	w := a.workers[r.Worker]
+	return w != nil && w.Incarnation != 0 && r.Incarnation != 0 && w.Incarnation != r.Incarnation
 }
 
-// attributeInheritedCrashes suspects the tasks of inherited jobs that are found on no worker, once all workers have reported on
-// which they may be, of the crashes that the previous owner had not recorded.
+// attributeInheritedCrashes suspects the tasks whose runs were confirmed by a worker that has crashed since, once all workers have reported on
+// which runs of their jobs may be. The crashes of many workers have another cause.
 func (a *Arranger) attributeInheritedCrashes(now time.Time) {
-	if len(a.inheritedCrashes) == 0 {
+	if len(a.trials) == 0 {
 		return
 	}
-	manyLost := a.areMany(len(a.inheritedCrashes))
-	for _, j := range slices.Clone(a.active) {
-		if len(j.inheritedCrashes) == 0 || a.awaitsReport(j) {
-			continue
+	lost := maps.Clone(a.inheritedCrashes)
+	for id, tasks := range a.trials {
+		if t := tasks[0]; t.trial != nil && a.hasCrashed(*t.trial) {
+			lost[id] = *t.trial
 		}
+	}
+	manyLost := a.areMany(len(lost))
+	for _, id := range slices.Sorted(maps.Keys(lost)) {
 		var suspects []suspect
-		for _, s := range j.stages {
-			for _, t := range s.tasks {
-				if !s.ready.IsZero() && !t.done && t.place == nil && (!manyLost || len(t.crashes) >= manyCrashes) {
-					suspects = append(suspects, suspect{task: t})
-				}
+		a.keepTrials(id, func(t *task) bool {
+			if t.trial == nil || t.stage.job.state.Final() {
+				return false
 			}
-		}
-		// A task had one run at most, so that it can have crashed only one of the workers.
-		crash := j.inheritedCrashes[0]
-		j.inheritedCrashes = nil
-		a.attributeCrash(now, crash, suspects)
+			if *t.trial != lost[id] || a.awaitsReport(t.stage.job) {
+				return true
+			}
+			t.trial = nil
+			if t.place == nil && !t.done && (!manyLost || len(t.crashes) >= manyCrashes) {
+				suspects = append(suspects, suspect{task: t})
+			}
+			return false
+		})
+		a.attributeCrash(now, lost[id], suspects)
 	}
 }
--- a/director/crash_test.go
+++ b/director/crash_test.go
@@ -66,3 +66,28 @@
 		})
 	}
 }
+
+// A new owner blamed each waiting task of a job for the crashes of the workers that other tasks had run on, and the job failed for a task that had
+// never run.
+func TestAJobIsNotGivenUpForATaskThatNeverRan(t *testing.T) {
+	runService(t, 3, 3, func(s *service) {
+		s.submit(s.entries[0], jobA, faker.TaskJob{Duration: 2 * time.Minute, Accelerators: 8}, 4)
+		s.await(s.entries[0], jobA, "running", time.Second)
+		for i := range s.workers {
+			// Longer than a run is suspected for.
+			time.Sleep(8 * time.Second)
+			owner := s.owner()
+			s.board.Isolate(owner.name, true)
+			s.workers[i].SetSilent(true)
+			time.Sleep(recoveryTime)
+			s.workers[i].SetSilent(false)
+			s.nextLife(i)
+			s.board.Isolate(owner.name, false)
+		}
+		time.Sleep(recoveryTime)
+		if got := s.fleet.LostUnder(jobA); got >= mayGiveUp {
+			t.Fatalf("%d workers were lost under one task, want each under another", got)
+		}
+		s.await(s.entries[0], jobA, "running", time.Second)
+	})
+}
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -226,26 +226,48 @@
 
 func TestRandomFaultsNeitherLoseNorDoubleWork(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // A test needs reproducible numbers.
-			runService(t, 3, 6, func(s *service) {
-				accepted := s.submitUnderRandomFaults(random)
-				s.clearFaults()
-				for _, id := range accepted {
-					s.await(s.entries[0], id, "succeeded", time.Minute)
-				}
-			})
-		})
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testRandomFaults(t, seed, false) })
 	}
 }
 
+// Requests without an answer reach the next incarnation of their worker.
+func TestRandomFaultsAndRestartsNeitherLoseNorDoubleWork(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testRandomFaults(t, seed, true) })
+	}
+}
+
+// testRandomFaults checks that all accepted jobs succeed after random faults, with restarts of workers or without.
+func testRandomFaults(t *testing.T, seed uint64, restarts bool) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // A test needs reproducible numbers.
+	runService(t, 3, 6, func(s *service) {
+		accepted := s.submitUnderRandomFaults(random, restarts)
+		s.clearFaults()
+		for _, id := range accepted {
+			want := "succeeded"
+			if s.fleet.LostUnder(id) >= mayGiveUp && strings.Contains(s.state(s.entries[0], id), "failed") {
+				want = "failed"
+			}
+			s.await(s.entries[0], id, want, time.Minute)
+		}
+	})
+}
+
+// mayGiveUp is the number of workers that may be lost under a task before its job may be given up.
+const mayGiveUp = 2
+
 // submitUnderRandomFaults submits jobs while it injects faults, and returns the IDs of the accepted jobs.
-func (s *service) submitUnderRandomFaults(random *rand.Rand) []string {
+func (s *service) submitUnderRandomFaults(random *rand.Rand, restarts bool) []string {
 	var accepted []string
 	const steps = 40
+	actions := 8
+	if restarts {
+		actions = 12
+	}
 	for i := range steps {
 		time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
-		switch random.IntN(8) {
+		switch random.IntN(actions) {
 		case 0:
 			s.board.Isolate(s.entries[random.IntN(len(s.entries))].name, true)
 		case 1:
@@ -262,6 +284,13 @@
 			s.workers[random.IntN(len(s.workers))].LoseStartReplies(1)
 		case 6:
 			s.workers[random.IntN(len(s.workers))].DelayStarts(1, time.Duration(random.IntN(8000))*time.Millisecond)
+		case 8:
+			s.workers[random.IntN(len(s.workers))].DelayPolls(1, time.Duration(random.IntN(8000))*time.Millisecond)
+		case 9:
+			s.nextLife(random.IntN(len(s.workers)))
+		case 10:
+			// The platform's list shows the next incarnation later than its responses do.
+			s.workers[random.IntN(len(s.workers))].Restart()
 		default:
 			id := fmt.Sprintf("%016x", i)
 			job := faker.TaskJob{Duration: time.Duration(1+random.IntN(4)) * time.Second, Accelerators: 1 + random.IntN(4)}
@@ -284,8 +313,9 @@
 	for _, e := range s.entries {
 		s.board.Isolate(e.name, false)
 	}
-	for _, w := range s.workers {
+	for i, w := range s.workers {
 		w.SetSilent(false)
+		s.list(i)
 	}
 	time.Sleep(3 * time.Second)
 }
--- a/director/session.go
+++ b/director/session.go
@@ -122,7 +122,7 @@
 
 // removeReplaced removes a worker at whose address another one responds from the arranger; the caller holds the term's mutex.
 func (t *term) removeReplaced(id, reason string) {
-	t.arranger.WorkerReplaced(time.Now(), id, reason, t.wasSent)
+	t.arranger.WorkerReplaced(time.Now(), id, reason)
 }
 
 // removeSilent removes a worker whose leases have expired from the arranger; the caller holds the term's mutex.
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -10,8 +10,6 @@
 // job. The next owner then knows on which workers runs of a job may exist, and
 // waits for the reports of these only. A worker that is listed already needs no
 // new write, so a job continues on its workers while the store is unavailable.
-// The start of a task that is suspected of crashing workers needs one, so that
-// the next owner learns of a crash that this one does not live to record.
 
 // unsentStart is a start that waits for a write of its job's progress row.
 type unsentStart struct {
@@ -33,7 +31,7 @@
 	change := t.writer.markJobsDirty(slices.Compact(ids))
 	t.writer.signal()
 	isRecorded := func(order arranger.StartOrder) bool {
-		return !order.Suspected && t.recorded[order.Task.Job].lists(order.Worker)
+		return t.recorded[order.Task.Job].lists(order.Worker)
 	}
 	incomplete := gangsWithout(orders, isRecorded)
 	for _, order := range orders {
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -188,6 +188,8 @@
 	w.lease, w.fence, w.endedRuns, w.lastEndNumber = 0, 0, nil, 0
 	for _, run := range w.runs {
 		w.fleet.lostUnder[run.name]++
+	}
+	for _, run := range w.runs {
 		w.remove(run)
 		w.fleet.breakGang(run)
 	}
