arranger: Keep runs whose end a report may omit

Cause: a worker lists 500 ended runs at a time, and the rest once those are acknowledged, which needs the store. A run that stood in neither list was taken for lost and ran again. A new owner that found more than 500 ends did the same.

Ruled out: reports that overtake each other, since the polls of a session follow one another. Evidence: all reports from the first wrong "not listed by its worker" on have 500 ends, and the same runs end as done when the store is back.

Change: platform marks a report with 500 ends as one that may omit some. Such a report releases no place, ends no wait of inherited jobs, also not when the leases would have expired, attributes no crash and leaves no worker drained; the first complete one does. Why it works: only a complete report is evidence of what is missing from it. Other limited lists were looked at: tables are read to the last page; advice, transactions and samples stay below their limits.

The fake workers list 500 ends at a time.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -30,7 +30,7 @@
 	orders        Orders
 	dirty         map[string]bool
 	// awaitedReports maps workers on which a previous owner may have started tasks to the time when the last
-	// lease there has expired.
+	// lease there has expired, or to the zero time if they have reported and omitted ended runs.
 	awaitedReports map[string]time.Time
 	// silentLosses holds workers that were removed without an answer, trials the tasks with confirmed runs of a previous owner on a worker, both by
 	// the ID of the worker.
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -37,7 +37,7 @@
 // awaitingReports reports whether a worker that has not reported may still run tasks of a previous owner.
 func (a *Arranger) awaitingReports(now time.Time) bool {
 	for id, expiry := range a.awaitedReports {
-		if !now.Before(expiry) {
+		if !expiry.IsZero() && !now.Before(expiry) {
 			delete(a.awaitedReports, id)
 			a.options.Log("worker has not reported, but all leases there have expired", "worker", id, "left", len(a.awaitedReports))
 		}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -22,13 +22,15 @@
 	Checkpoint string
 }
 
-// Report lists all runs that a worker has and the ends that are not acknowledged yet.
+// Report lists all runs that a worker has and the ends that are not acknowledged yet, or the first of these.
 type Report struct {
 	Worker string
 	// RequestedAt is when the report was requested; it may not reflect orders that were confirmed later.
 	RequestedAt time.Time
 	Running     []RunReport
 	Ended       []EndReport
+	// EndsOmitted means that runs may have ended whose end is not listed, so that nothing is known of a run that is not listed at all.
+	EndsOmitted bool
 }
 
 // HandleReport updates the state from a worker's report.
@@ -40,8 +42,7 @@
 	a.changed = a.changed || !w.hasReported || !w.reachable
 	w.hasReported = true
 	w.reachable = true
-	delete(a.awaitedReports, w.ID)
-	defer a.forgetTrials(w)
+	a.forgetTrials(w)
 	for _, e := range r.Ended {
 		if e.Number > w.lastEndNumber {
 			w.lastEndNumber = e.Number
@@ -55,12 +56,30 @@
 		listed[run.Task] = run.Run
 		a.handleRunning(now, w, r.RequestedAt, run)
 	}
+	if r.EndsOmitted {
+		a.awaitOmittedEnds(w, len(r.Ended))
+		return
+	}
+	delete(a.awaitedReports, w.ID)
+	w.endsOmitted = false
 	a.releaseMissing(w, r.RequestedAt, listed)
 	crashes := w.earlierCrashes
 	w.earlierCrashes = nil
 	a.attributeCrashes(now, w, crashes)
 }
 
+// awaitOmittedEnds keeps inherited jobs waiting for the ends that a worker has not listed, however long that takes: the worker is alive and keeps
+// them.
+func (a *Arranger) awaitOmittedEnds(w *worker, listed int) {
+	if a.ExpectsReport(w.ID) {
+		a.awaitedReports[w.ID] = time.Time{}
+	}
+	if !w.endsOmitted {
+		a.options.Log("ended runs omitted from the report, runs that it does not list remain", "worker", w.ID, "ends", listed, "places", len(w.places))
+	}
+	w.endsOmitted = true
+}
+
 // handleRunning matches a reported run with its place; it adopts or stops a run without one.
 func (a *Arranger) handleRunning(now time.Time, w *worker, requestedAt time.Time, r RunReport) {
 	if p := w.placeOf(r); p != nil {
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -148,6 +148,8 @@
 	orphans map[string]Resources
 	// orphanSizeUnknown means that the resources of some orphan are unknown, so the worker counts as full.
 	orphanSizeUnknown bool
+	// endsOmitted means that the latest report may have omitted ended runs.
+	endsOmitted bool
 	// lastEndNumber is the number of the last end that was processed.
 	lastEndNumber int64
 	// blockedUntil is when the worker may get new work again after it refused a start.
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -284,8 +284,12 @@
 // awaitedDetails describes the reports for which inherited jobs wait.
 func (a *Arranger) awaitedDetails(now time.Time) []any {
 	var next, last time.Time
-	worker := ""
+	worker, omitted := "", 0
 	for id, expiry := range a.awaitedReports {
+		if expiry.IsZero() {
+			omitted++
+			continue
+		}
 		if next.IsZero() || cmp.Or(expiry.Compare(next), cmp.Compare(id, worker)) < 0 {
 			next, worker = expiry, id
 		}
@@ -293,7 +297,11 @@
 			last = expiry
 		}
 	}
-	return []any{"awaited", len(a.awaitedReports), "awaitedWorker", worker, "next", next.Sub(now).String(), "last", last.Sub(now).String()}
+	details := []any{"awaited", len(a.awaitedReports), "endsOmitted", omitted}
+	if worker == "" {
+		return details
+	}
+	return append(details, "awaitedWorker", worker, "next", next.Sub(now).String(), "last", last.Sub(now).String())
 }
 
 // String returns the lateness in words.
--- a/director/session.go
+++ b/director/session.go
@@ -235,7 +235,7 @@
 	}
 	s.workerClock, s.respondedAt, s.responded, s.failures = received.Clock, t.now(), true, 0
 	s.clearLeaseEnd()
-	report := arranger.Report{Worker: s.worker.ID, RequestedAt: requestedAt}
+	report := arranger.Report{Worker: s.worker.ID, RequestedAt: requestedAt, EndsOmitted: received.EndsOmitted}
 	for _, r := range received.Running {
 		report.Running = append(report.Running, arranger.RunReport{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent})
 	}
@@ -252,7 +252,7 @@
 		s.change = t.writer.markJobsDirty(t.arranger.TakeDirtyJobs())
 		t.writer.signal()
 	}
-	s.setDrained(s.worker.Draining && len(received.Running) == 0 && s.lastRecorded == s.lastEnded && !t.arranger.Occupied(s.worker.ID))
+	s.setDrained(s.worker.Draining && len(received.Running) == 0 && !received.EndsOmitted && s.lastRecorded == s.lastEnded && !t.arranger.Occupied(s.worker.ID))
 	if t.arranger.NeedsPlan() {
 		t.requestPlan()
 	}
--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -106,6 +106,18 @@
 // Crashes returns the highest number of workers that one task of the job has crashed.
 func (f *TaskFleet) Crashes(job string) int { return f.mostOfATask(job, f.crashes) }
 
+// MostEnds returns the highest number of ended runs that wait on a worker to be acknowledged.
+func (f *TaskFleet) MostEnds() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, w := range f.workers {
+		w.endDueRuns()
+		most = max(most, len(w.endedRuns))
+	}
+	return most
+}
+
 // LostUnder returns the highest number of incarnations of workers that ended while they ran the same task of the job.
 func (f *TaskFleet) LostUnder(job string) int { return f.mostOfATask(job, f.lostUnder) }
 
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -42,6 +42,9 @@
 // maxLease is the longest lease that a worker grants.
 const maxLease = 10 * time.Second
 
+// maxListedEnds is the number of ended runs that one response lists.
+const maxListedEnds = 500
+
 type taskRequest struct {
 	Task       string `json:"task"`
 	Run        int64  `json:"run"`
@@ -206,7 +209,7 @@
 	for _, run := range w.runs {
 		running = append(running, []any{run.name, run.run, w.fleet.jobs[run.job].Checkpoint, w.percent(run)})
 	}
-	for _, e := range w.endedRuns {
+	for _, e := range w.endedRuns[:min(len(w.endedRuns), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.name, e.run, e.outcome, ""})
 	}
 	w.respond(rw, http.StatusOK, map[string]any{"running": running, "finished": ended})
