arranger: Check the victims of a gang against each other

Cause: the choice of victims on a worker was evaluated before the first member was placed, and again only if the trial had used that worker. The bound on unavailable tasks depends on the victims on other workers as well.

Change: a choice is stale if one of its victims may no longer be stopped beside those chosen so far.

--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -91,7 +92,7 @@
 }
 
 // evaluation is the cached choice of a candidate for tasks of a step; it is valid while the candidate's version
-// stays the same.
+// stays the same and its victims may be stopped beside those of other candidates.
 type evaluation struct {
 	choice
 	ok      bool
@@ -108,7 +109,7 @@
 	for _, task := range tasks {
 		best := -1
 		for i, cand := range candidates {
-			if cand.trial == t.number && evaluations[i].version != cand.version {
+			if t.isStale(&evaluations[i], cand) {
 				t.reevaluate(&evaluations[i], u.stage, cand)
 			}
 			if !evaluations[i].ok || t.avoids(task, cand.worker) || t.mixesSuspects(task, cand.worker) {
@@ -127,6 +128,15 @@
 	return &t.packing
 }
 
+// isStale reports whether the choice has to be evaluated again, since the trial has used the candidate or has stopped other runs of a step of which
+// only so many may be unavailable.
+func (t *trial) isStale(e *evaluation, cand *candidate) bool {
+	if cand.trial == t.number && e.version != cand.version {
+		return true
+	}
+	return e.ok && slices.ContainsFunc(e.victims, func(p *place) bool { return !t.mayBecomeUnavailable(p) })
+}
+
 func (t *trial) reevaluate(e *evaluation, s *stage, cand *candidate) {
 	e.choice, e.ok = t.evaluate(s, cand)
 	e.version = 0
--- a/arranger/sharing_test.go
+++ b/arranger/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -55,6 +56,41 @@
 	}
 }
 
+// The victims of the second task of a gang were those chosen before the first one had been placed, so that both could be of a step of which only one
+// task may be unavailable.
+func TestAGangRespectsMaxUnavailableAcrossWorkers(t *testing.T) {
+	const workers, accelerators, members = 8, 8, 2
+	for _, test := range []struct {
+		maxUnavailable, jobs, stops int
+	}{{1, 2, 2}, {2, 2, 2}, {1, 1, 0}} {
+		t.Run(fmt.Sprintf("%d of a step, %d steps", test.maxUnavailable, test.jobs), func(t *testing.T) {
+			h := newHarness(t, 1, workers)
+			h.SetGuarantees(map[string]int{"unions": members * accelerators})
+			for i := range test.jobs {
+				step := single(workers/test.jobs, accelerators)
+				step.LongRunning, step.MaxUnavailable = true, test.maxUnavailable
+				j := jobOf(fmt.Sprintf("long-running-%d", i), 0, step)
+				j.Organisation = "others"
+				h.AddJob(h.now, j, Progress{}, false)
+			}
+			h.confirmStarts(h.planAfter(0))
+			h.reportAll(wholePercent)
+			h.AddJob(h.now, jobOf("urgent", 0, gang(members, accelerators)), Progress{}, false)
+			stops := map[string]int{}
+			o := h.planAfter(0)
+			for _, stop := range o.Stops {
+				job, _, _ := strings.Cut(stop.Task, ".")
+				if stops[job]++; stops[job] > test.maxUnavailable {
+					t.Errorf("%d tasks of %s are stopped, %d may be unavailable", stops[job], job, test.maxUnavailable)
+				}
+			}
+			if len(o.Stops) != test.stops {
+				t.Errorf("%d stops, want %d", len(o.Stops), test.stops)
+			}
+		})
+	}
+}
+
 func TestLatencySensitiveAndBestEffortTasksDoNotShareAWorker(t *testing.T) {
 	for _, order := range [][]string{{"latency-sensitive", "best-effort"}, {"best-effort", "latency-sensitive"}} {
 		t.Run(order[0]+" first", func(t *testing.T) {
