--- a/director/life.go
+++ b/director/life.go
@@ -22,15 +22,14 @@
 	maxRequestDelay = 12 * time.Second
 )
 
-// nextEpoch returns the epoch that follows one of an earlier owner, whose requests carry tokens of the epoch or, if it is a multiple of
-// fencesPerEpoch, of those up to the next multiple.
+// nextEpoch returns the epoch of the next owner, which is above all fencing tokens of the previous one and a multiple of fencesPerEpoch.
 func nextEpoch(previous int64) int64 { return (previous/fencesPerEpoch + 1) * fencesPerEpoch }
 
 // life is an incarnation of a worker and the fencing token of the requests to it.
 type life struct{ incarnation, fence int64 }
 
-// beginLife sets the fencing token of a new session, and the time until which requests of an earlier incarnation's session may have effects;
-// the caller holds the term's mutex.
+// beginLife sets the fencing token of a new session, and includes leases that late requests of an earlier incarnation's session may grant; the
+// caller holds the term's mutex.
 func (t *term) beginLife(s *session) {
 	earlier, known := t.lives[s.worker.ID]
 	if !known {
--- a/director/orders.go
+++ b/director/orders.go
@@ -137,12 +137,16 @@
 func (t *term) stop(s *session, order arranger.StopOrder) {
 	ctx := s.ctx
 	for attempt := range maxStopAttempts {
-		if ctx.Err() != nil || !t.maySendRequests() {
+		if !t.maySendRequests() {
 			return
 		}
 		attemptCtx, cancel := attemptContext(ctx, attempt)
 		err := t.Workers.Stop(attemptCtx, s.worker.ID, s.worker.Address, order.Task, order.Run, s.fence)
 		cancel()
+		if ctx.Err() != nil {
+			// A later session may have fenced the request off.
+			return
+		}
 		if err == nil {
 			t.mu.Lock()
 			t.arranger.StopConfirmed(time.Now(), order.Task, order.Run, order.Worker)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,15 +147,27 @@
 	}
 }
 
+// maxRequestDelay is how long after it was sent a request without an answer is executed at the latest.
+const maxRequestDelay = 12 * time.Second
+
 // maxQueues is the number of queues beside those of the traffic up to which the configuration grows.
 const maxQueues = 4000
 
-// disturb crashes a worker, writes an odd entry into the list of workers, or changes the configuration.
+// disturb crashes or restarts a worker, delays requests to it, writes an odd entry into the list of workers, or changes the configuration.
 func (s *soak) disturb() {
 	i := s.random.IntN(len(s.workers))
-	switch s.random.IntN(3) {
+	switch s.random.IntN(5) {
 	case 0:
 		s.workers[i].Crash()
+	case 2:
+		s.workers[i].DelayStarts(1, time.Duration(s.random.Int64N(int64(maxRequestDelay))))
+		s.workers[i].DelayPolls(s.random.IntN(2), time.Duration(s.random.Int64N(int64(maxRequestDelay))))
+	case 3:
+		s.workers[i].Restart()
+		s.clients.Go(func() {
+			time.Sleep(time.Second)
+			s.register(i)
+		})
 	case 1:
 		odd := s.workers[i].Describe("tabulator", s.addresses[i], s.racks[i])
 		switch s.random.IntN(4) {
