director: Limit the leases of workers by the owner's last renewal

Cause: an owner that cannot renew its own lease goes on for 6 s and granted full leases of 9 s until then. The next owner cannot tell whether it did, and had to assume it.

Ruled out: a shorter time without renewals, since work must go on while the store is away.

Change: a lease ends at most 9 s after the last confirmed renewal, so that the next owner, which takes over at least 1.1 s after that, knows that all have ended 7.9 s after its takeover (2% more, and the margin for transmission). The bound counts from the takeover, no longer from the end of loading. The lease row says that its owner keeps to this; after an owner of an earlier version the longer wait stays.

--- a/director/director.go
+++ b/director/director.go
@@ -175,7 +175,7 @@
 	row, previous := state.row, state.lease
 	lease := registrar.Lease{
 		Node: d.Node, Incarnation: d.Incarnation, Epoch: nextEpoch(previous.Epoch),
-		WorkersRecorded: row.Version == 0 || previous.WorkersRecorded,
+		WorkersRecorded: row.Version == 0 || previous.WorkersRecorded, LeasesLimited: true,
 	}
 	renewed := row
 	renewed.Value = registrar.Encode(lease)
@@ -191,7 +191,7 @@
 	if inheritedVersion != 0 {
 		t.inheritedVersion = inheritedVersion
 	}
-	t.restartedOwner, t.firstOwner = d.isPreviousProcess(previous), previous.Epoch == 0
+	t.restartedOwner, t.firstOwner, t.previous = d.isPreviousProcess(previous), previous.Epoch == 0, previous
 	t.run(ctx)
 	return true
 }
--- a/director/session.go
+++ b/director/session.go
@@ -133,7 +133,7 @@
 
 // extendLease returns the end of a lease granted now, on the worker's clock.
 func (s *session) extendLease() time.Duration {
-	until := s.estimateClock() + s.term.leaseDuration()
+	until := s.estimateClock() + s.term.grantDuration()
 	s.leasesExpire = max(s.leasesExpire, s.respondedAt+time.Duration(float64(until-s.workerClock)*clockDriftFactor)+leaseExpiryMargin)
 	s.grantedAt = s.term.now()
 	return until
--- a/director/silent_test.go
+++ b/director/silent_test.go
@@ -230,3 +230,20 @@
 		})
 	}
 }
+
+// A worker and the owner that had not missed it yet were lost at the same time, and the next owner waited 14.6 s for the worker's leases, which had ended
+// before.
+func TestTheWaitForAWorkerLostWithTheOwnerEndsWithItsLeases(t *testing.T) {
+	// limit covers the longest lease, 9 s on a clock that is 2% slow, the margin for its arrival, the work, and a plan.
+	const work, limit = time.Second, 9180*time.Millisecond + 400*time.Millisecond + time.Second + 500*time.Millisecond
+	runService(t, 3, 2, func(s *service) {
+		first := s.owner()
+		s.submit(first, jobA, faker.TaskJob{Duration: work, Accelerators: 8}, 1)
+		s.await(first, jobA, "running", time.Second)
+		s.workers[s.runningOn()].SetSilent(true)
+		s.board.Isolate(first.name, true)
+		s.await(s.other(first), jobA, "succeeded", limit)
+		s.board.Isolate(first.name, false)
+		time.Sleep(recoveryTime)
+	})
+}
--- a/director/term.go
+++ b/director/term.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// workerLeaseDuration is the length of the leases granted to workers; it is longer than a change of owner takes after the loss of all VMs.
+	// workerLeaseDuration is the length of the leases granted to workers, counted from the owner's last renewal; it is longer than a change of owner
+	// takes after the loss of all VMs.
 	workerLeaseDuration = 9 * time.Second
 	// clockDriftFactor is the factor by which a worker's clock may run slower than the local one.
 	clockDriftFactor = 1.02
@@ -70,6 +71,10 @@
 	inheritedExpiry time.Duration
 	// loaded means that the state of the previous owner has been loaded.
 	loaded bool
+	// previous is the lease of the previous owner.
+	previous registrar.Lease
+	// acquiredAt is when this owner began to acquire the lease.
+	acquiredAt time.Duration
 	// restartedOwner means that the previous owner was an earlier process of this VM, which has ended, and firstOwner that there was none.
 	restartedOwner, firstOwner bool
 }
@@ -82,7 +87,7 @@
 
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
-		Director: d, lease: lease, inheritedVersion: version,
+		Director: d, lease: lease, inheritedVersion: version, acquiredAt: acquiredAt,
 		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, lives: map[string]life{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
 	}
@@ -137,7 +142,7 @@
 
 // restoreWorkers opens sessions with the workers that a previous owner recorded and with those on the platform's list, and expects reports from all that may run tasks of a previous owner.
 func (t *term) restoreWorkers(known platform.Page, listedRows []platform.Row) {
-	t.inheritedExpiry = t.now() + t.maxInheritedLease()
+	t.inheritedExpiry = t.acquiredAt + t.maxInheritedLease()
 	recorded := map[string]bool{}
 	var speeds []platform.Row
 	for _, row := range known.Rows {
@@ -209,11 +214,22 @@
 // maxInheritedLease returns how long after the start of this term a lease granted by a previous owner may remain valid.
 func (t *term) maxInheritedLease() time.Duration {
 	// A previous owner grants leases until its last renewal is maxRenewalAge old, even if another VM has acquired its lease meanwhile.
-	overlap := maxRenewalAge - leaseTimeout
-	if t.restartedOwner || t.firstOwner {
-		overlap = 0
+	longest := maxRenewalAge - leaseTimeout + t.leaseDuration()
+	switch {
+	case t.restartedOwner || t.firstOwner:
+		longest = t.leaseDuration()
+	case t.previous.LeasesLimited && t.previous.Released:
+		longest = min(longest, workerLeaseDuration)
+	case t.previous.LeasesLimited:
+		longest = min(longest, workerLeaseDuration-leaseTimeout)
 	}
-	return time.Duration(float64(overlap+t.leaseDuration())*clockDriftFactor) + leaseExpiryMargin
+	return time.Duration(float64(longest)*clockDriftFactor) + leaseExpiryMargin
+}
+
+// grantDuration returns the length of a lease granted now: it ends at most workerLeaseDuration after the last renewal of the owner's own lease, so that the
+// next owner knows when it has expired.
+func (t *term) grantDuration() time.Duration {
+	return min(t.leaseDuration(), workerLeaseDuration-(t.now()-t.writer.renewedAt()))
 }
 
 // leaseDuration returns the length of the leases granted to workers, which shorten longer ones.
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -119,6 +119,8 @@
 	Renewal int64 `json:"renewal"`
 	// WorkersRecorded means that the progress row of each job lists all workers on which its runs may exist.
 	WorkersRecorded bool `json:"workersRecorded,omitempty"`
+	// LeasesLimited means that the leases of workers end soon after the owner's last renewal, however long it goes on without one.
+	LeasesLimited bool `json:"leasesLimited,omitempty"`
 }
 
 // KnownWorker is a worker that an owner may have sent requests to.
