arranger: Tell the inherited crashes of several incarnations apart

Found on reading: of the confirmed runs that a new owner inherits for one worker only those of the incarnation of the first were looked at, so that a crash under a run on another incarnation, confirmed after a restart between two owners, was never attributed.

Change: each run is judged by the incarnation that it was confirmed on. TestCrashesOfEachIncarnationAreInherited failed before (task 1 is suspected of "", want "w@2") and passes.

--- a/arranger/crash_test.go
+++ b/arranger/crash_test.go
@@ -315,6 +315,27 @@
 	}
 }
 
+// The runs on a worker may have been confirmed by several of its incarnations.
+func TestCrashesOfEachIncarnationAreInherited(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	w := Worker{ID: "w", Incarnation: 2, Service: "tabulator", Rack: "r1-0", Labels: []string{"a"}, Capacity: Resources{CPU: 32000, MemoryMB: 65536, Accelerators: 8}}
+	h.SetWorker(h.now, w)
+	h.AddJob(h.now, jobOf("job", 1, single(4, 1)), Progress{
+		State: Running, Workers: []string{"w"},
+		Confirmed: map[string][]string{"w@1": {"0.0.0"}, "w@2": {"0.0.1"}, "w@3": {"0.0.2"}, "@": {"0.0.3"}, "none@1": {"0.0.3"}},
+	}, true)
+	w.Incarnation = 3
+	h.SetWorker(h.now, w)
+	h.HandleReport(h.now, Report{Worker: "w", RequestedAt: h.now})
+	h.planAfter(0)
+	for i, want := range []string{"w@1", "w@2", "", ""} {
+		crashes := h.Progress("job").Tasks[fmt.Sprintf("0.0.%d", i)].Crashes
+		if got := strings.Join(crashes, " "); got != want {
+			t.Errorf("task %d is suspected of %q, want %q", i, got, want)
+		}
+	}
+}
+
 // Crashes with other causes would add up over the life of a long-running task.
 func TestASuspectedTaskThatRunsOnIsCleared(t *testing.T) {
 	h := newHarness(t, 1, 4)
--- a/arranger/trial.go
+++ b/arranger/trial.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -106,28 +107,31 @@
 	if len(a.trials) == 0 {
 		return
 	}
-	lost := maps.Clone(a.inheritedCrashes)
+	lost := map[string]bool{}
+	for id := range a.inheritedCrashes {
+		lost[id] = true
+	}
 	for id, tasks := range a.trials {
-		if t := tasks[0]; t.trial != nil && a.hasCrashed(*t.trial) {
-			lost[id] = *t.trial
-		}
+		lost[id] = lost[id] || slices.ContainsFunc(tasks, func(t *task) bool { return t.trial != nil && a.hasCrashed(*t.trial) })
 	}
+	maps.DeleteFunc(lost, func(_ string, is bool) bool { return !is })
 	manyLost := a.areMany(len(lost))
 	for _, id := range slices.Sorted(maps.Keys(lost)) {
-		var suspects []suspect
+		suspects := map[Trial][]suspect{}
 		a.keepTrials(id, func(t *task) bool {
-			if t.trial == nil || t.stage.job.state.Final() {
+			switch {
+			case t.trial == nil || t.stage.job.state.Final():
 				return false
-			}
-			if *t.trial != lost[id] || a.awaitsReport(t.stage.job) {
+			case !a.hasCrashed(*t.trial) || a.awaitsReport(t.stage.job):
 				return true
+			case t.place == nil && !t.done && (!manyLost || len(t.crashes) >= manyCrashes):
+				suspects[*t.trial] = append(suspects[*t.trial], suspect{task: t})
 			}
 			t.trial = nil
-			if t.place == nil && !t.done && (!manyLost || len(t.crashes) >= manyCrashes) {
-				suspects = append(suspects, suspect{task: t})
-			}
 			return false
 		})
-		a.attributeCrash(now, lost[id], suspects)
+		for _, crash := range slices.SortedFunc(maps.Keys(suspects), func(x, y Trial) int { return cmp.Compare(x.Incarnation, y.Incarnation) }) {
+			a.attributeCrash(now, crash, suspects[crash])
+		}
 	}
 }
