--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -137,7 +137,7 @@
 	fence       int64
 	runs        map[string]*taskRun
 	lastRun     map[string]int64
-	// highestFence and settledRuns are the fence and the last runs of all incarnations.
+	// highestFence and settledRuns are the highest fence and the last ended or stopped runs of all earlier incarnations.
 	highestFence  int64
 	settledRuns   map[string]int64
 	endedRuns     []endedRun
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -105,8 +105,8 @@
 	w.respond(rw, status, map[string]any{"reason": reason})
 }
 
-// settled reports whether an earlier incarnation has fenced off a start or ended its run. No owner can keep a later one from executing it
-// before the first request to that, so it is not executed; the caller holds the fleet's lock.
+// settled reports whether an earlier incarnation has fenced off a start or ended its run. No owner can fence off the next incarnation before its
+// first request to that, so such a start is not executed; the caller holds the fleet's lock.
 func (w *TaskWorker) settled(request taskRequest) bool {
 	return request.Fence < w.highestFence || request.Run <= w.settledRuns[request.Task]
 }
