director: Take no limit on leases from a row that this process wrote

Found on the last reading: a process that acquires the lease without a response finds its own row as that of the previous owner, which says that leases are limited by its last renewal.

Change: such a row is no evidence, and the longer wait stays. A case of TestInheritedJobsWaitForTheLongestLeaseThatWorkersAccept failed before and passes.

--- a/director/term.go
+++ b/director/term.go
@@ -218,6 +218,8 @@
 	switch {
 	case t.restartedOwner || t.firstOwner:
 		longest = t.leaseDuration()
+	case t.previous.Incarnation == t.Incarnation:
+		// This process acquired the lease before without a response, so that its row says nothing of the owner before.
 	case t.previous.LeasesLimited && t.previous.Released:
 		longest = min(longest, workerLeaseDuration)
 	case t.previous.LeasesLimited:
--- a/director/term_test.go
+++ b/director/term_test.go
@@ -23,10 +23,11 @@
 		{"long leases, this VM was the owner", 10 * time.Second, true, registrar.Lease{}, workerLeaseDuration},
 		{"long leases, limited by the last renewal", 10 * time.Second, false, registrar.Lease{LeasesLimited: true}, workerLeaseDuration - leaseTimeout},
 		{"long leases, limited and released", 10 * time.Second, false, registrar.Lease{LeasesLimited: true, Released: true}, workerLeaseDuration},
+		{"long leases, acquired by this process without a response", 10 * time.Second, false, registrar.Lease{LeasesLimited: true, Incarnation: "self"}, 13*time.Second + 900*time.Millisecond},
 		{"short leases, limited by the last renewal", 6 * time.Second, false, registrar.Lease{LeasesLimited: true}, workerLeaseDuration - leaseTimeout},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			term := newTerm(&Director{Bounds: platform.Bounds{MaxLease: tt.maxLease}}, registrar.Lease{Epoch: 2}, 1, 0)
+			term := newTerm(&Director{Incarnation: "self", Bounds: platform.Bounds{MaxLease: tt.maxLease}}, registrar.Lease{Epoch: 2}, 1, 0)
 			term.restartedOwner, term.previous = tt.restarted, tt.previous
 			// The worker's clock may run 2% slow, and a grant takes some time to arrive.
 			want := time.Duration(float64(tt.want)*clockDriftFactor) + leaseExpiryMargin
