--- a/review/_trial/lasting.go
+++ b/review/_trial/lasting.go
@@ -11,8 +11,6 @@
 	lastingID = "1a57000000000001"
 	// crashAway is how long a crashed worker is away.
 	crashAway = 3 * time.Second
-	// afterRun, calmBefore and standstill are the bounds of the rule LOST for a task that lasts.
-	afterRun, calmBefore, standstill = 6 * time.Second, 4 * time.Second, 3 * time.Second
 )
 
 // playLasting hands in a job with a task that lasts and then much batch work of a lower priority. The worker of the lasting task crashes while the
@@ -59,37 +57,5 @@
 		victim.crash(crashAway)
 		calm = calm.Add(crashAway)
 	}
-	lastRun, since := time.Now(), time.Time{}
-	var longest time.Duration
-	const watch, step = 40 * time.Second, 50 * time.Millisecond
-	minPlaces := 0
-	for begun := time.Now(); time.Since(begun) < watch; time.Sleep(step) {
-		now := time.Now()
-		w.fleet.mu.Lock()
-		runs, places := w.fleet.runningOn(task) != nil, w.fleet.places(lasting)
-		w.fleet.mu.Unlock()
-		if runs {
-			lastRun = now
-		}
-		if runs || places < 2 || now.Sub(lastRun) < afterRun || now.Sub(calm) < calmBefore {
-			since = time.Time{}
-			continue
-		}
-		if since.IsZero() {
-			since, minPlaces = now, places
-		}
-		minPlaces = min(minPlaces, places)
-		if d := now.Sub(since); d > longest {
-			if longest < standstill && d >= standstill {
-				w.record.line("the lasting task has not run for %.1f s; it would fit %d times; GET /run/%s -> %s", now.Sub(lastRun).Seconds(), places, lastingID, w.state(w.entries[0], "run", lastingID))
-			}
-			longest = d
-		}
-	}
-	if longest >= standstill {
-		w.record.line("LOST is broken: a task that lasts has not run for %.1f s of calm, from %s after its last run on; there was room for it %d times or more all the while", longest.Seconds(), afterRun, minPlaces)
-		return broken, nil
-	}
-	w.record.line("held: the longest time without the lasting task while there was room is %.1f s", longest.Seconds())
-	return held, nil
+	return watchedTasks{world: w, tasks: []string{task}, need: lasting, calm: calm}.judge(40 * time.Second)
 }
--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -21,6 +21,7 @@
 	"cancel":    playCancel,
 	"lasting":   playLasting,
 	"crashes":   playCrashes,
+	"failures":  playFailures,
 }
 
 func main() { os.Exit(run1()) }
--- a/review/_trial/worker.go
+++ b/review/_trial/worker.go
@@ -87,6 +87,8 @@
 	onStart func(w *worker, r *run)
 	// onDone is called with each run that ended as done, with the mutex held; it may be nil.
 	onDone func(r *run)
+	// failAfter is how long after its start each run fails; 0 means that none does.
+	failAfter time.Duration
 	// quiet leaves starts and ends of the job with this prefix out of the record.
 	quiet string
 }
@@ -296,6 +298,16 @@
 	if w.fleet.onStart != nil {
 		w.fleet.onStart(w, r)
 	}
+	if w.fleet.failAfter > 0 {
+		r.timer = time.AfterFunc(w.fleet.failAfter, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			if w.runs[r.task] == r {
+				w.end(r, "failed")
+			}
+		})
+		return http.StatusOK, ""
+	}
 	if r.spec.Lasting {
 		r.timer = time.AfterFunc(time.Hour, func() {})
 		return http.StatusOK, ""
