--- a/review/_trial/worker.go
+++ b/review/_trial/worker.go
@@ -82,6 +82,8 @@
 	store   *store
 	// doneAt is when a run of a task ended as done, acked when its end was acknowledged, by task.
 	doneAt, acked map[string]time.Time
+	// leftAt is when the latest run of a task ended or was lost with its worker, by task.
+	leftAt        map[string]time.Time
 	starts, dones int
 	// onStart is called with each start of a task, with the mutex held; it may be nil.
 	onStart func(w *worker, r *run)
@@ -94,7 +96,7 @@
 }
 
 func newFleet(rec *record, s *store) *fleet {
-	return &fleet{record: rec, store: s, doneAt: map[string]time.Time{}, acked: map[string]time.Time{}}
+	return &fleet{record: rec, store: s, doneAt: map[string]time.Time{}, acked: map[string]time.Time{}, leftAt: map[string]time.Time{}}
 }
 
 // add starts a worker and lists it in the store.
@@ -165,6 +167,7 @@
 	var lost []string
 	for _, r := range w.runs {
 		r.timer.Stop()
+		w.fleet.leftAt[r.task] = time.Now()
 		lost = append(lost, fmt.Sprintf("%s run %d", r.task, r.number))
 	}
 	w.fleet.record.line("worker %s crashes, lost with it: %s", w.id, strings.Join(lost, ", "))
@@ -337,6 +340,7 @@
 // end moves a run to the list of ended runs.
 func (w *worker) end(r *run, outcome string) {
 	r.timer.Stop()
+	w.fleet.leftAt[r.task] = time.Now()
 	delete(w.runs, r.task)
 	w.lastRun[r.task] = max(w.lastRun[r.task], r.number)
 	w.lastEnd++
