--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -22,6 +22,7 @@
 	"lasting":   playLasting,
 	"crashes":   playCrashes,
 	"failures":  playFailures,
+	"gangs":     playGangs,
 }
 
 func main() { os.Exit(run1()) }
--- a/review/_trial/worker.go
+++ b/review/_trial/worker.go
@@ -14,6 +14,7 @@
 	// maxHold, stopTime and maxListed are those of PROTOCOL.md and of the settings.
 	maxHold   = 10 * time.Second
 	maxListed = 500
+	gangWait  = 3 * time.Second
 	heartbeat = 1500 * time.Millisecond
 )
 
@@ -28,6 +29,10 @@
 	Lasting bool `json:"lasting,omitempty"`
 	// Requires is a label that the worker must have.
 	Requires string `json:"requires,omitempty"`
+	// Gang is the number of tasks that work only together; 0 means that they work by themselves.
+	Gang int `json:"gang,omitempty"`
+	// PerServer is the largest number of tasks of the step on one worker; 0 means no limit.
+	PerServer int `json:"perServer,omitempty"`
 }
 
 // run is a run of a task on a worker.
@@ -37,8 +42,17 @@
 	spec    need
 	started time.Time
 	timer   *time.Timer
+	worker  *worker
 }
 
+// gang names the runs of a step that were started together: ID.K.STEP and the number of the run.
+type gang struct {
+	step string
+	run  int64
+}
+
+func (r *run) gang() gang { return gang{r.task[:strings.LastIndexByte(r.task, '.')], r.number} }
+
 // ended is an entry of a worker's list of ended runs.
 type ended struct {
 	number  int64
@@ -56,19 +70,19 @@
 	kind    string
 
 	// The fleet's mutex guards the fields below.
-	born      time.Time
-	fence     int64
-	lease     time.Duration
-	runs      map[string]*run
-	lastRun   map[string]int64
-	ends      []ended
-	lastEnd   int64
-	changed   chan struct{}
-	down      bool
-	sequence  int
-	conns     map[net.Conn]bool
-	draining  bool
-	isRemoved bool
+	born     time.Time
+	fence    int64
+	lease    time.Duration
+	runs     map[string]*run
+	lastRun  map[string]int64
+	ends     []ended
+	lastEnd  int64
+	changed  chan struct{}
+	down     bool
+	sequence int
+	conns    map[net.Conn]bool
+	// state is that of the worker's entry in the list.
+	state string
 }
 
 // capacity is that of each worker: those of the site berkep-snipelift.
@@ -82,6 +96,8 @@
 	store   *store
 	// doneAt is when a run of a task ended as done, acked when its end was acknowledged, by task.
 	doneAt, acked map[string]time.Time
+	// gangs are the members of gangs that are present.
+	gangs map[gang][]*run
 	// leftAt is when the latest run of a task ended or was lost with its worker, by task.
 	leftAt        map[string]time.Time
 	starts, dones int
@@ -96,12 +112,12 @@
 }
 
 func newFleet(rec *record, s *store) *fleet {
-	return &fleet{record: rec, store: s, doneAt: map[string]time.Time{}, acked: map[string]time.Time{}, leftAt: map[string]time.Time{}}
+	return &fleet{record: rec, store: s, doneAt: map[string]time.Time{}, acked: map[string]time.Time{}, leftAt: map[string]time.Time{}, gangs: map[gang][]*run{}}
 }
 
 // add starts a worker and lists it in the store.
 func (f *fleet) add(id, rack, kind string) (*worker, error) {
-	w := &worker{fleet: f, id: id, rack: rack, kind: kind, conns: map[net.Conn]bool{}}
+	w := &worker{fleet: f, id: id, rack: rack, kind: kind, state: "ready", conns: map[net.Conn]bool{}}
 	w.reset()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -144,7 +160,7 @@
 	w.fleet.mu.Lock()
 	w.sequence++
 	entry := map[string]any{
-		"service": "tabulator", "addr": w.address, "zone": "zone-a", "version": "1", "slots": 8, "state": "ready", "seq": w.sequence,
+		"service": "tabulator", "addr": w.address, "zone": "zone-a", "version": "1", "slots": 8, "state": w.state, "seq": w.sequence,
 		"capacity": map[string]any{"cpu": capacity.CPU, "memMb": capacity.MemMB, "gpu": capacity.GPU},
 		"labels":   []string{w.kind, w.rack}, "born": w.born.UnixMilli(),
 	}
@@ -161,6 +177,25 @@
 	}
 }
 
+// leave reports that the worker drains, and ends it after the given time, with its entry.
+func (w *worker) leave(after time.Duration) {
+	w.fleet.mu.Lock()
+	w.state = "draining"
+	w.fleet.mu.Unlock()
+	w.fleet.record.line("worker %s drains", w.id)
+	w.register()
+	time.AfterFunc(after, func() {
+		w.fleet.mu.Lock()
+		w.down = true
+		for c := range w.conns {
+			_ = c.Close()
+		}
+		w.fleet.mu.Unlock()
+		w.fleet.store.rows.Remove("servers", w.id)
+		w.fleet.record.line("worker %s has left", w.id)
+	})
+}
+
 // crash ends all runs and resets all connections; the worker is back under its ID after the given time.
 func (w *worker) crash(away time.Duration) {
 	w.fleet.mu.Lock()
@@ -285,7 +320,7 @@
 	if w.clock() > time.Duration(q.DeadlineMs)*time.Millisecond {
 		return http.StatusConflict, "late"
 	}
-	r := &run{task: q.Task, number: q.Run, started: time.Now()}
+	r := &run{task: q.Task, number: q.Run, started: time.Now(), worker: w}
 	if err := json.Unmarshal([]byte(q.Spec), &r.spec); err != nil {
 		return http.StatusBadRequest, "spec"
 	}
@@ -311,6 +346,10 @@
 		})
 		return http.StatusOK, ""
 	}
+	if r.spec.Gang > 0 {
+		w.fleet.join(r)
+		return http.StatusOK, ""
+	}
 	if r.spec.Lasting {
 		r.timer = time.AfterFunc(time.Hour, func() {})
 		return http.StatusOK, ""
@@ -326,6 +365,47 @@
 	return http.StatusOK, ""
 }
 
+// join adds a run to its gang, which works once all members are present, and ends as done together.
+func (f *fleet) join(r *run) {
+	r.timer = time.AfterFunc(gangWait, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if r.worker.runs[r.task] == r {
+			r.worker.end(r, "alone")
+		}
+	})
+	f.gangs[r.gang()] = append(f.gangs[r.gang()], r)
+	members := f.gangs[r.gang()]
+	if len(members) < r.spec.Gang {
+		return
+	}
+	for _, member := range members {
+		member.timer.Stop()
+	}
+	r.timer = time.AfterFunc(time.Duration(r.spec.Millis)*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(f.gangs[r.gang()]) < r.spec.Gang {
+			return
+		}
+		delete(f.gangs, r.gang())
+		for _, member := range members {
+			member.worker.end(member, "done")
+		}
+	})
+}
+
+// leave removes a run from its gang, whose other members end as broken.
+func (f *fleet) leave(r *run) {
+	members := f.gangs[r.gang()]
+	delete(f.gangs, r.gang())
+	for _, member := range members {
+		if member != r && member.worker.runs[member.task] == member {
+			member.worker.end(member, "broken")
+		}
+	}
+}
+
 func (w *worker) stop(q request) (int, string) {
 	if !w.admit(q) {
 		return http.StatusConflict, "fence"
@@ -342,6 +422,9 @@
 	r.timer.Stop()
 	w.fleet.leftAt[r.task] = time.Now()
 	delete(w.runs, r.task)
+	if r.spec.Gang > 0 && outcome != "done" {
+		w.fleet.leave(r)
+	}
 	w.lastRun[r.task] = max(w.lastRun[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, ended{w.lastEnd, r.task, r.number, outcome})
@@ -421,7 +504,7 @@
 func (f *fleet) places(n need) int {
 	count := 0
 	for _, w := range f.workers {
-		if w.down || n.Requires != "" && n.Requires != w.kind {
+		if w.down || w.state != "ready" || n.Requires != "" && n.Requires != w.kind {
 			continue
 		}
 		used, fits := w.used(), 1<<20
--- a/review/_trial/world.go
+++ b/review/_trial/world.go
@@ -341,6 +341,12 @@
 	if n.Requires != "" {
 		fields += fmt.Sprintf(`,"requires":%q`, n.Requires)
 	}
+	if n.Gang > 0 {
+		fields += `,"gang":true`
+	}
+	if n.PerServer > 0 {
+		fields += fmt.Sprintf(`,"maxPerServer":%d`, n.PerServer)
+	}
 	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"memMb":%d,"gpu":%d,"estimateMs":%d%s}`, count, n.CPU, n.MemMB, n.GPU, n.Millis, fields)
 	return fmt.Sprintf(`{"spec":%s,"steps":[%s]%s}`, text, strings.Join(slices.Repeat([]string{step}, steps), ","), more)
 }
