--- a/review/_trial/cancel.go
+++ b/review/_trial/cancel.go
@@ -27,8 +27,8 @@
 
 // playCancel hands in jobs while the store loses answers. A client that gets no answer, or one that leaves the outcome open, gives up and cancels
 // its job, until that is acknowledged. No task of such a job may start later than cancelBound after that.
-func playCancel(folder string) (int, error) {
-	w, err := newWorld(folder, 8, 3, oneKind)
+func playCancel(folder string, trouble bool) (int, error) {
+	w, err := newWorld(folder, trouble, 8, 3, oneKind)
 	if w != nil {
 		defer w.close()
 	}
--- a/review/_trial/gangs.go
+++ b/review/_trial/gangs.go
@@ -19,8 +19,8 @@
 )
 
 // playGangs lets a worker leave, then hands in a gang with a task for each of the workers that were there, and gangs that still fit.
-func playGangs(folder string) (int, error) {
-	w, err := newWorld(folder, gangWorkers, 3, oneKind)
+func playGangs(folder string, trouble bool) (int, error) {
+	w, err := newWorld(folder, trouble, gangWorkers, 3, oneKind)
 	if w != nil {
 		defer w.close()
 	}
--- a/review/_trial/lasting.go
+++ b/review/_trial/lasting.go
@@ -15,8 +15,8 @@
 
 // playLasting hands in a job with a task that lasts and then much batch work of a lower priority. The worker of the lasting task crashes while the
 // batch work waits, and is back soon.
-func playLasting(folder string) (int, error) {
-	w, err := newWorld(folder, 8, 3, oneKind)
+func playLasting(folder string, trouble bool) (int, error) {
+	w, err := newWorld(folder, trouble, 8, 3, oneKind)
 	if w != nil {
 		defer w.close()
 	}
--- a/review/_trial/scheduled.go
+++ b/review/_trial/scheduled.go
@@ -21,8 +21,8 @@
 var singleTask = need{Millis: 200, CPU: 1000, MemMB: 256}
 
 // playScheduled hands in a job that runs many times and, beside it, one other job every two seconds, of a hundred tasks of a fifth of a second.
-func playScheduled(folder string) (int, error) {
-	w, err := newWorld(folder, 4, 3, oneKind)
+func playScheduled(folder string, trouble bool) (int, error) {
+	w, err := newWorld(folder, trouble, 4, 3, oneKind)
 	if w != nil {
 		defer w.close()
 	}
