acceptor: Keep a cancelled job from being accepted by a late write

Cause: 410 was read off an absent row, and nothing kept that row absent. A write without a response may be executed seconds later, and its only condition, that there is no such job, still held. Ruled out: the entry repeating the write after the cancellation (it gives up with the 504; the same fault in another order, which a test now has) and a cancellation lost at the owner (no row of one was written).

Change: the cancellation of a job that does not exist leaves a tombstone, conditional on the job's row being as it was read, and 410 is answered only once that is certain. The tombstones of a part of the job table share one row, whose version each write of jobs expects: writes sent before a cancellation fail by themselves, and repeated ones see it. A tombstone holds for the organisation and queue, for 2 minutes; 100 of an organisation and 64 KB a part, more are refused with 429 and Retry-After. A progress row of others no longer hides the caller's own job.

The fake store executes writes late. writeJob takes the identity of the job, so that calls in batch_test.go changed.

Conclusion: fixed for entries of this version; while earlier ones run beside them, their late writes are not prevented.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -57,7 +57,7 @@
 func New(store *platform.Store, config *follower.Follower, logger *slog.Logger) *Acceptor {
 	a := &Acceptor{Store: store, Config: config, Logger: logger, Now: time.Now, batchers: map[string]*batcher{}}
 	for _, partition := range registrar.Partitions() {
-		a.batchers[partition] = &batcher{store: store}
+		a.batchers[partition] = &batcher{store: store, logger: logger, partition: partition}
 	}
 	return a
 }
@@ -229,7 +229,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), submitTimeout)
 	defer cancel()
-	err = a.batchers[registrar.Partition(c.id)].writeJob(ctx, c.id, job.Digest, value)
+	err = a.batchers[registrar.Partition(c.id)].writeJob(ctx, c.identity(), job.Digest, value)
 	a.respondToSubmit(c, err)
 }
 
@@ -240,6 +240,8 @@
 		platform.WriteStatus(c.w, http.StatusOK)
 	case errors.Is(err, errIDInUse):
 		a.refuse(c.w, c.r, c.id, http.StatusConflict, err.Error(), 0)
+	case errors.Is(err, errCancelled):
+		a.refuse(c.w, c.r, c.id, http.StatusGone, err.Error(), 0)
 	case errors.Is(err, platform.ErrNotExecuted):
 		a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, "not run: "+err.Error(), storeRetryAfter)
 	default:
@@ -289,16 +291,15 @@
 		if err != nil {
 			return "", err
 		}
-		if progress.Queue != c.queue.Name || (progress.Organisation != c.organisation && !c.queue.Public) {
-			return "", errNoJob
+		if c.identity().owns(progress.Queue, progress.Organisation) {
+			return platform.JobState(progress.State), nil
 		}
-		return platform.JobState(progress.State), nil
 	}
 	storedJob, err := a.storedJob(c)
 	if err != nil {
 		return "", err
 	}
-	if storedJob.Queue != c.queue.Name || (storedJob.Organisation != c.organisation && !c.queue.Public) {
+	if !c.identity().owns(storedJob.Queue, storedJob.Organisation) {
 		return "", errNoJob
 	}
 	return platform.StateQueued, nil
@@ -330,35 +331,12 @@
 		a.refuse(c.w, c.r, c.id, http.StatusGone, err.Error(), 0)
 		return
 	}
-	a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, err.Error(), storeRetryAfter)
-}
-
-func (a *Acceptor) serveCancel(c call) {
-	jobState, err := a.jobState(c)
-	if err != nil {
-		a.respondWithError(c, err)
+	var full fullError
+	if errors.As(err, &full) {
+		a.refuse(c.w, c.r, c.id, http.StatusTooManyRequests, err.Error(), full.retryAfter)
 		return
 	}
-	if !jobState.Terminal() {
-		row := registrar.CancelRow(c.id)
-		row.Value = registrar.Encode(struct{}{})
-		if err := a.put(c.r.Context(), row); err != nil {
-			a.respondWithError(c, err)
-			return
-		}
-	}
-	a.Logger.Info("cancellation recorded", "job", c.id, "state", jobState)
-	platform.WriteStatus(c.w, http.StatusOK)
-}
-
-// put writes a row unconditionally and repeats the write until its outcome is known or the context ends.
-func (a *Acceptor) put(ctx context.Context, row platform.Row) error {
-	for {
-		_, err := a.Store.Transact(ctx, platform.Transaction{Put: []platform.Row{row}})
-		if err == nil || !errors.Is(err, platform.ErrOutcomeUnknown) || ctx.Err() != nil {
-			return err
-		}
-	}
+	a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, err.Error(), storeRetryAfter)
 }
 
 func (a *Acceptor) servePending(c call) {
--- a/acceptor/batch.go
+++ b/acceptor/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 const (
-	// maxBatch is the number of jobs written in one transaction; the store accepts 100 rows.
+	// maxBatch is the number of jobs written in one transaction; the store accepts 100 entries, two for each job and one for the tombstones.
 	maxBatch = 40
 	// maxBatchBytes bounds the total size of the values in one transaction; the store accepts requests of 1 MB, in which base64 makes values a third longer.
 	maxBatchBytes = 512 << 10
@@ -19,13 +20,17 @@
 	unknownRetryDelay = 50 * time.Millisecond
 )
 
-// errIDInUse means that a different job was accepted with the same ID.
-var errIDInUse = errors.New("another job has this ID")
+var (
+	// errIDInUse means that a different job was accepted with the same ID.
+	errIDInUse = errors.New("another job has this ID")
+	// errCancelled means that the job was cancelled before it was accepted, and never will be.
+	errCancelled = errors.New("cancelled before it was accepted, never runs")
+)
 
 // record is a job that is queued to be written to the store.
 type record struct {
 	ctx    context.Context //nolint:containedctx // The batch outlives the call that adds to it.
-	id     string
+	job    identity
 	digest string
 	value  []byte
 	result chan error
@@ -33,16 +38,20 @@
 
 // batcher writes the jobs of one partition to the store; those that arrive during a transaction share the next one.
 type batcher struct {
-	store *platform.Store
+	store     *platform.Store
+	logger    *slog.Logger
+	partition string
+	// tombstones are those that this process read last; only flush uses them.
+	tombstones tombstones
 
 	mu       sync.Mutex
 	queued   []*record
 	flushing bool
 }
 
-// writeJob queues a job and waits for its outcome: nil means that the job is stored, by this call or an earlier one, platform.ErrNotExecuted that it never will be, and platform.ErrOutcomeUnknown that it may or may not be.
-func (b *batcher) writeJob(ctx context.Context, id, digest string, value []byte) error {
-	r := &record{ctx: ctx, id: id, digest: digest, value: value, result: make(chan error, 1)}
+// writeJob queues a job and waits for its outcome: nil means that the job is stored, by this call or an earlier one, platform.ErrNotExecuted and errCancelled that it never will be, and platform.ErrOutcomeUnknown that it may or may not be.
+func (b *batcher) writeJob(ctx context.Context, job identity, digest string, value []byte) error {
+	r := &record{ctx: ctx, job: job, digest: digest, value: value, result: make(chan error, 1)}
 	b.mu.Lock()
 	b.queued = append(b.queued, r)
 	if !b.flushing {
@@ -91,7 +100,7 @@
 func (b *batcher) record(batch []*record) {
 	outcomeUnknown := false
 	for {
-		batch = dropCancelled(batch, outcomeUnknown)
+		batch = b.dropBuried(dropAbandoned(batch, outcomeUnknown))
 		if len(batch) == 0 {
 			return
 		}
@@ -101,7 +110,7 @@
 			finishAll(batch, nil)
 			return
 		case errors.Is(err, platform.ErrConflict):
-			batch = resolveConflicts(batch, outcome.Rows)
+			batch = b.resolveConflicts(batch, outcome)
 		case errors.Is(err, platform.ErrOutcomeUnknown):
 			outcomeUnknown = true
 			time.Sleep(unknownRetryDelay)
@@ -116,8 +125,8 @@
 	}
 }
 
-// dropCancelled removes jobs whose callers have stopped waiting; these are definitely not stored unless an earlier attempt had an unknown outcome.
-func dropCancelled(batch []*record, outcomeUnknown bool) []*record {
+// dropAbandoned removes jobs whose callers have stopped waiting; these are definitely not stored unless an earlier attempt had an unknown outcome.
+func dropAbandoned(batch []*record, outcomeUnknown bool) []*record {
 	remaining := batch[:0:0]
 	for _, r := range batch {
 		if r.ctx.Err() == nil {
@@ -133,10 +142,24 @@
 	return remaining
 }
 
+// dropBuried removes jobs that were cancelled before they were accepted. An earlier attempt to write one is not executed any more: it expected an older version of the tombstones.
+func (b *batcher) dropBuried(batch []*record) []*record {
+	now := time.Now()
+	remaining := batch[:0:0]
+	for _, r := range batch {
+		if b.tombstones.cover(r.job, now) {
+			r.result <- errCancelled
+			continue
+		}
+		remaining = append(remaining, r)
+	}
+	return remaining
+}
+
 func (b *batcher) transact(batch []*record) (platform.TransactionResult, error) {
-	var transaction platform.Transaction
+	transaction := platform.Transaction{Expect: []platform.Row{registrar.TombstoneRow(b.partition, b.tombstones.version)}}
 	for _, r := range batch {
-		row := registrar.JobRow(r.id, 0)
+		row := registrar.JobRow(r.job.id, 0)
 		transaction.Expect = append(transaction.Expect, row)
 		row.Value = r.value
 		transaction.Put = append(transaction.Put, row)
@@ -144,30 +167,38 @@
 	return b.store.Transact(context.Background(), transaction)
 }
 
-// resolveConflicts sets the result of the jobs that are already in the store and returns the others; if none is, the outcome of all is unknown.
-func resolveConflicts(batch []*record, rows []platform.Row) []*record {
-	existing := map[string]platform.Row{}
-	for _, row := range rows {
-		if row.Version != 0 && !row.Deleted {
-			existing[row.Key] = row
-		}
-	}
+// resolveConflicts sets the result of the jobs that are already in the store, adopts newer tombstones and returns the other jobs; if neither explains the conflict, the outcome of all is unknown.
+func (b *batcher) resolveConflicts(batch []*record, conflict platform.TransactionResult) []*record {
+	existing := existingRows(conflict.Rows)
 	remaining := batch[:0:0]
 	for _, r := range batch {
-		row, ok := existing[r.id]
+		row, ok := existing[r.job.id]
 		if !ok {
 			remaining = append(remaining, r)
 			continue
 		}
 		r.result <- compareDigest(row, r.digest)
 	}
-	if len(remaining) == len(batch) {
+	before := b.tombstones.version
+	b.tombstones = newTombstones(existing[registrar.TombstoneKey], conflict.StoreTime, time.Now(), b.logger)
+	if len(remaining) == len(batch) && b.tombstones.version == before {
 		finishAll(remaining, platform.ErrOutcomeUnknown)
 		return nil
 	}
 	return remaining
 }
 
+// existingRows returns those of the rows that exist, by key.
+func existingRows(rows []platform.Row) map[string]platform.Row {
+	existing := map[string]platform.Row{}
+	for _, row := range rows {
+		if row.Version != 0 && !row.Deleted {
+			existing[row.Key] = row
+		}
+	}
+	return existing
+}
+
 // compareDigest returns nil if the stored job has the digest, which means that the submission was repeated, and errIDInUse if it has another.
 func compareDigest(row platform.Row, digest string) error {
 	stored, err := registrar.Decode[registrar.Job](row)
--- a/acceptor/batch_test.go
+++ b/acceptor/batch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,10 @@
 	store := faker.NewRowStore()
 	board := faker.NewHTTPNetwork()
 	board.Handle("store:1", store)
-	return &batcher{store: &platform.Store{Client: board.Client(client), Address: "store:1", Timeout: time.Second}}, store
+	return &batcher{
+		store:  &platform.Store{Client: board.Client(client), Address: "store:1", Timeout: time.Second},
+		logger: slog.New(slog.DiscardHandler), partition: registrar.Partition(id),
+	}, store
 }
 
 func valueOf(digest string) []byte { return registrar.Encode(registrar.Job{Digest: digest}) }
@@ -44,14 +48,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				b, store := newBatcher("entry")
 				if test.before != "" {
-					if err := b.writeJob(t.Context(), id, test.before, valueOf(test.before)); err != nil {
+					if err := b.writeJob(t.Context(), identity{id: id}, test.before, valueOf(test.before)); err != nil {
 						t.Fatal(err)
 					}
 				}
 				store.SetFaults(test.faults)
 				ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 				defer cancel()
-				if err := b.writeJob(ctx, id, "d", valueOf("d")); !errors.Is(err, test.want) {
+				if err := b.writeJob(ctx, identity{id: id}, "d", valueOf("d")); !errors.Is(err, test.want) {
 					t.Fatalf("got %v, want %v", err, test.want)
 				}
 				if _, ok := store.Rows(registrar.JobTable, registrar.Partition(id))[id]; ok != test.stored {
@@ -77,7 +81,7 @@
 				continue
 			}
 			sent++
-			go func() { done <- b.writeJob(t.Context(), other, "d", valueOf("d")) }()
+			go func() { done <- b.writeJob(t.Context(), identity{id: other}, "d", valueOf("d")) }()
 		}
 		for range jobs {
 			if err := <-done; err != nil {
--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -39,6 +39,11 @@
 	Silent bool
 	// LoseReplies is the number of next transactions that are executed but not answered.
 	LoseReplies int
+	// LateTransactions is the number of next transactions that are not answered and are executed only after LateBy, if their conditions still hold.
+	// With a LateTable, only those that write a row of this table count.
+	LateTransactions int
+	LateBy           time.Duration
+	LateTable        string
 	// Delay delays each request.
 	Delay time.Duration
 	// RejectRow is the TABLE/KEY of a row; transactions that write it are rejected with status 400.
@@ -181,6 +186,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.postpone(t) {
+		<-r.Context().Done()
+		return
+	}
 	status, body := s.transact(t)
 	s.mu.Lock()
 	lost := s.faults.LoseReplies > 0
@@ -195,6 +204,19 @@
 	writeJSON(w, status, body)
 }
 
+// postpone executes a transaction later if the faults say so.
+func (s *RowStore) postpone(t rowTransaction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writes := func(row storedRow) bool { return s.faults.LateTable == "" || row.Table == s.faults.LateTable }
+	if s.faults.LateTransactions == 0 || !slices.ContainsFunc(t.Upserts, writes) {
+		return false
+	}
+	s.faults.LateTransactions--
+	time.AfterFunc(s.faults.LateBy, func() { s.transact(t) })
+	return true
+}
+
 type rowResponse struct {
 	Rows       []storedRow `json:"rows"`
 	Ver        int64       `json:"ver"`
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -15,6 +15,10 @@
 	JobTable = "jobs"
 	// ProgressTable holds the progress of jobs; its rows share a partition with the lease, so that one transaction can check the lease and write them.
 	ProgressTable = "progress"
+	// TombstoneTable holds the cancellations of jobs that had not been accepted, in one row for each partition of the job table.
+	TombstoneTable = "tombstones"
+	// TombstoneKey is the key of these rows; it cannot be a job ID, which is hexadecimal.
+	TombstoneKey = "cancelled"
 	// LeaseTable holds the row of the owner's lease.
 	LeaseTable = "lease"
 	// FleetTable holds the workers that an owner may have sent requests to, and the numbers of pending jobs.
@@ -81,6 +85,11 @@
 	return platform.Row{Table: JobTable, Partition: Partition(jobID), Key: jobID + cancelSuffix}
 }
 
+// TombstoneRow returns the row of the tombstones of a partition of the job table with the given expected version.
+func TombstoneRow(partition string, version int64) platform.Row {
+	return platform.Row{Table: TombstoneTable, Partition: partition, Key: TombstoneKey, Version: version}
+}
+
 // ProgressRow returns the row of a job's progress.
 func ProgressRow(jobID string) platform.Row {
 	return platform.Row{Table: ProgressTable, Partition: OwnerPartition, Key: jobID}
@@ -97,6 +106,17 @@
 	Digest string `json:"digest"`
 }
 
+// Tombstone is the record of the cancellation of a job that had not been accepted.
+type Tombstone struct {
+	JobID        string `json:"id"`
+	Queue        string `json:"queue"`
+	Organisation string `json:"organisation,omitempty"`
+	// Public means that the queue was public, so that the cancellation applies to the jobs of all organisations.
+	Public bool `json:"public,omitempty"`
+	// CancelledMillis is the reading of the store's steady clock, or 0 if that was not known.
+	CancelledMillis int64 `json:"at"`
+}
+
 // Progress is the record of the progress of a job.
 type Progress struct {
 	arranger.Progress
