director: Limit the size of progress rows, keep a rejected one to its job

Cause: the progress row named each stage with completed tasks and outgrew 64 KB (H2), and the acknowledgements of all workers depended on one number up to which all changes were recorded, which a rejected row held for good (H3). Ruled out: a store that refuses the owner's writes as a whole (other rows and the lease were written).

Ends are acknowledged by the record of their own job, in order; a rejected row is retried by itself, its job gets no starts and ends as failed after 30 s, or 5 s if ends wait for it. Related: numbers of waiting jobs are divided among rows; a job row that the store rejects no longer fails the jobs of its batch, and is answered 400; unknown workers are recorded as such; a failed read of the lease no longer passes for a rejected write.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -242,6 +242,8 @@
 		a.refuse(c.w, c.r, c.id, http.StatusConflict, err.Error(), 0)
 	case errors.Is(err, errCancelled):
 		a.refuse(c.w, c.r, c.id, http.StatusGone, err.Error(), 0)
+	case errors.Is(err, platform.ErrRejected):
+		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, "not run: "+err.Error(), 0)
 	case errors.Is(err, platform.ErrNotExecuted):
 		a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, "not run: "+err.Error(), storeRetryAfter)
 	default:
@@ -340,17 +342,22 @@
 }
 
 func (a *Acceptor) servePending(c call) {
-	row, err := a.Store.Get(c.r.Context(), registrar.FleetTable, registrar.OwnerPartition, registrar.PendingKey)
+	counts, err := a.pendingCounts(c, registrar.PendingKey)
+	if key := registrar.PendingShardKey(counts, c.queue.Name); err == nil && key != registrar.PendingKey {
+		counts, err = a.pendingCounts(c, key)
+	}
 	if err != nil {
 		a.respondWithError(c, err)
 		return
 	}
-	counts := map[string]int{}
-	if row.Version != 0 {
-		if counts, err = registrar.Decode[map[string]int](row); err != nil {
-			a.respondWithError(c, err)
-			return
-		}
-	}
 	platform.WritePendingCount(c.w, counts[c.queue.Name])
 }
+
+// pendingCounts returns the numbers of waiting jobs by queue in a row.
+func (a *Acceptor) pendingCounts(c call, key string) (map[string]int, error) {
+	row, err := a.Store.Get(c.r.Context(), registrar.FleetTable, registrar.OwnerPartition, key)
+	if err != nil || row.Version == 0 {
+		return nil, err
+	}
+	return registrar.Decode[map[string]int](row)
+}
--- a/acceptor/batch.go
+++ b/acceptor/batch.go
@@ -49,7 +49,7 @@
 	flushing bool
 }
 
-// writeJob queues a job and waits for its outcome: nil means that the job is stored, by this call or an earlier one, platform.ErrNotExecuted and errCancelled that it never will be, and platform.ErrOutcomeUnknown that it may or may not be.
+// writeJob queues a job and waits for its outcome: nil means that the job is stored, by this call or an earlier one, platform.ErrNotExecuted, platform.ErrRejected and errCancelled that it never will be, and platform.ErrOutcomeUnknown that it may or may not be.
 func (b *batcher) writeJob(ctx context.Context, job identity, digest string, value []byte) error {
 	r := &record{ctx: ctx, job: job, digest: digest, value: value, result: make(chan error, 1)}
 	b.mu.Lock()
@@ -80,7 +80,7 @@
 		batch := b.queued[:size:size]
 		b.queued = b.queued[size:]
 		b.mu.Unlock()
-		b.record(batch)
+		b.record(batch, false)
 	}
 }
 
@@ -96,9 +96,8 @@
 	return len(queued)
 }
 
-// record writes a batch in one transaction, and repeats it until each job has a result.
-func (b *batcher) record(batch []*record) {
-	outcomeUnknown := false
+// record writes a batch in one transaction, and repeats it until each job has a result; outcomeUnknown means that an earlier attempt had an unknown outcome.
+func (b *batcher) record(batch []*record, outcomeUnknown bool) {
 	for {
 		batch = b.dropBuried(dropAbandoned(batch, outcomeUnknown))
 		if len(batch) == 0 {
@@ -114,6 +113,12 @@
 		case errors.Is(err, platform.ErrOutcomeUnknown):
 			outcomeUnknown = true
 			time.Sleep(unknownRetryDelay)
+		case errors.Is(err, platform.ErrRejected) && len(batch) > 1:
+			b.logger.Warn("batch of jobs rejected by the store, writing them one at a time", "part", b.partition, "jobs", len(batch), "error", err.Error())
+			for _, r := range batch {
+				b.record([]*record{r}, outcomeUnknown)
+			}
+			return
 		case outcomeUnknown:
 			// An earlier attempt may still be applied.
 			finishAll(batch, platform.ErrOutcomeUnknown)
--- a/acceptor/batch_test.go
+++ b/acceptor/batch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +94,31 @@
 		}
 	})
 }
+
+// A job that the store rejects costs the jobs that are written with it another attempt, and is answered as not accepted.
+func TestAJobRejectedByTheStoreDoesNotFailItsBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, store := newBatcher("entry")
+		store.SetFaults(faker.RowFaults{MaxValue: 1000, Delay: 50 * time.Millisecond})
+		other := sameBatch(t)
+		results := map[string]chan error{id: make(chan error, 1), other: make(chan error, 1)}
+		for _, job := range []struct {
+			id   string
+			size int
+		}{{"ffffffffffffffff", 10}, {id, 2000}, {other, 10}} {
+			go func() {
+				err := b.writeJob(t.Context(), identity{id: job.id}, "d", []byte(`"`+strings.Repeat("x", job.size)+`"`))
+				if result := results[job.id]; result != nil {
+					result <- err
+				}
+			}()
+			synctest.Wait()
+		}
+		if err := <-results[id]; !errors.Is(err, platform.ErrRejected) {
+			t.Errorf("got %v for the rejected job", err)
+		}
+		if err := <-results[other]; err != nil {
+			t.Errorf("got %v for the other job", err)
+		}
+	})
+}
--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -40,7 +40,9 @@
 	losses []workerLoss
 	// inheritedCrashes holds the workers that have restarted before they reported to this owner.
 	inheritedCrashes map[string]Trial
-	claims           [][]*place
+	// hasUnknownWorkers means that a job was added whose record does not tell its workers.
+	hasUnknownWorkers bool
+	claims            [][]*place
 	// urgentUsage records the recent use of accelerators by urgent work.
 	urgentUsage usageHistory
 	// speeds rates the speed of the workers.
@@ -110,6 +112,7 @@
 		j.workersUnknown = progress.WorkersUnknown || !a.options.WorkersRecorded
 		if j.workersUnknown {
 			a.dirty[j.ID] = true
+			a.hasUnknownWorkers = true
 		}
 	}
 	j.criticalPath = criticalPathOf(j.Steps)
@@ -117,7 +120,7 @@
 	a.active = append(a.active, j)
 	a.changed = true
 	a.createDueOccurrences(j, now)
-	a.createOccurrencesThrough(j, progress.lastOccurrence())
+	a.createOccurrencesThrough(j, progress.lastOccurrence(newTaskNumbers(j.Steps)))
 	a.restore(j, progress)
 	a.markReadyStages(j, now)
 	a.finishIfDone(j)
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -59,6 +59,20 @@
 	})
 }
 
+// learnUnknownWorkers notes that the workers of all jobs are known again, once all workers have reported.
+func (a *Arranger) learnUnknownWorkers() {
+	if !a.hasUnknownWorkers || len(a.awaitedReports) > 0 {
+		return
+	}
+	a.hasUnknownWorkers = false
+	for _, j := range a.active {
+		if j.workersUnknown {
+			j.workersUnknown = false
+			a.dirty[j.ID] = true
+		}
+	}
+}
+
 // AwaitsReports reports whether a worker that has not reported may still run tasks of a previous owner.
 func (a *Arranger) AwaitsReports() bool { return len(a.awaitedReports) > 0 }
 
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -67,6 +67,7 @@
 	a.attributeInheritedCrashes(now)
 	ranks := a.ranks()
 	units := a.units(now, ranks)
+	a.learnUnknownWorkers()
 	if len(units) == 0 {
 		a.logWaits(now, ranks, nil)
 		return
@@ -99,7 +100,7 @@
 	awaiting := a.awaitingReports(now)
 	var units []unit
 	for _, j := range a.active {
-		if awaiting && a.awaitsReport(j) {
+		if j.held || awaiting && a.awaitsReport(j) {
 			continue
 		}
 		for _, s := range j.stages {
--- a/arranger/progress.go
+++ b/arranger/progress.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"encoding/base64"
 	"encoding/hex"
 	"fmt"
 	"maps"
@@ -9,11 +10,25 @@
 	"strings"
 )
 
+// The progress of a job is recorded in one of three forms. The first names each
+// stage that has begun, so that it grows with the occurrences of a job. The
+// second numbers the tasks: it grows with what is running or has failed. The
+// third has a fixed limit: a bit and a byte for each task, 23 KB for the 20,000
+// tasks that a job may have, which is 30 KB in base64, and at most
+// maxWorkersBytes of workers.
+
+// maxWorkersBytes limits the list of workers in the counted form.
+const maxWorkersBytes = 16 << 10
+
 // Progress is the recorded state of a job, from which the next owner resumes it.
 type Progress struct {
 	State State `json:"state"`
 	// Done maps each stage, named OCCURRENCE.STEP, to a bit set of its completed tasks in hexadecimal.
 	Done map[string]string `json:"done,omitempty"`
+	// DoneTasks replaces Done in the numbered forms: a bit set of the completed tasks in base64.
+	DoneTasks string `json:"doneTasks,omitempty"`
+	// Counts replaces Tasks in the counted form: a byte for each task in base64, with its failed runs and crashes.
+	Counts string `json:"counts,omitempty"`
 	// Tasks maps OCCURRENCE.STEP.INDEX to the progress of tasks that are not done.
 	Tasks map[string]TaskProgress `json:"tasks,omitempty"`
 	// Workers are the IDs of the workers on which runs of the job may exist.
@@ -21,8 +36,8 @@
 	// Confirmed maps incarnations of workers, as WORKER@INCARNATION, to the tasks, as OCCURRENCE.STEP.INDEX, whose start they have
 	// confirmed and whose runs they had not reported yet.
 	Confirmed map[string][]string `json:"confirmed,omitempty"`
-	// WorkersUnknown means that the record could not be read, so that runs may exist on any worker.
-	WorkersUnknown bool `json:"-"`
+	// WorkersUnknown means that runs may exist on any worker: the list was too long, or the record could not be read.
+	WorkersUnknown bool `json:"workersUnknown,omitempty"`
 }
 
 // TaskProgress is the recorded state of a task that has failed runs, a checkpoint or crashes.
@@ -35,7 +50,7 @@
 }
 
 // lastOccurrence returns the highest occurrence with recorded progress, or -1.
-func (p Progress) lastOccurrence() int {
+func (p Progress) lastOccurrence(numbers taskNumbers) int {
 	last := -1
 	consider := func(key string) {
 		number, _, _ := strings.Cut(key, ".")
@@ -49,6 +64,15 @@
 	for key := range p.Tasks {
 		consider(key)
 	}
+	// Unreadable texts are reported by restore.
+	done, _ := base64.StdEncoding.DecodeString(p.DoneTasks)
+	counts, _ := base64.StdEncoding.DecodeString(p.Counts)
+	highest := max(len(done)*bitsPerByte, len(counts)) - 1
+	for number := highest; number >= 0; number-- {
+		if bitSet(done).has(number) || number < len(counts) && counts[number] != 0 {
+			return max(last, numbers.occurrenceOf(number))
+		}
+	}
 	return last
 }
 
@@ -65,13 +89,13 @@
 	return p
 }
 
-// Progress returns the state of the job to be recorded.
+// Progress returns the state of the job to be recorded, in the form that all versions of the program can read.
 func (a *Arranger) Progress(id string) Progress {
 	j := a.jobs[id]
 	if j == nil {
 		return Progress{}
 	}
-	p := Progress{State: j.state}
+	p := a.progressWithoutDone(j)
 	for _, s := range j.stages {
 		if bits := s.doneBits(); bits != "" {
 			if p.Done == nil {
@@ -79,6 +103,61 @@
 			}
 			p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.stepNumber)] = bits
 		}
+	}
+	return p
+}
+
+// BegunStages returns the number of stages of the job that have completed tasks, which Progress names one by one.
+func (a *Arranger) BegunStages(id string) int {
+	begun := 0
+	if j := a.jobs[id]; j != nil {
+		for _, s := range j.stages {
+			if s.unfinished < len(s.tasks) {
+				begun++
+			}
+		}
+	}
+	return begun
+}
+
+// NumberedProgress returns the state of the job to be recorded, with the tasks that are done as a bit set.
+func (a *Arranger) NumberedProgress(id string) Progress {
+	j := a.jobs[id]
+	if j == nil {
+		return Progress{}
+	}
+	p := a.progressWithoutDone(j)
+	p.DoneTasks = j.doneTasks()
+	return p
+}
+
+// CountedProgress returns the state of the job to be recorded in the form with a limited size: failed runs and crashes are only counted, and
+// checkpoints and confirmed runs are left out.
+func (a *Arranger) CountedProgress(id string) Progress {
+	j := a.jobs[id]
+	if j == nil {
+		return Progress{}
+	}
+	p := Progress{State: j.state, DoneTasks: j.doneTasks(), Counts: j.counts()}
+	p.Workers, p.WorkersUnknown = a.possibleWorkers(j), a.anyWorkerPossible(j)
+	bytes := 0
+	for _, id := range p.Workers {
+		const quotesAndComma = 3
+		bytes += len(id) + quotesAndComma
+	}
+	if bytes > maxWorkersBytes {
+		p.Workers, p.WorkersUnknown = nil, true
+	}
+	return p
+}
+
+// progressWithoutDone returns the progress of a job without the tasks that are done.
+func (a *Arranger) progressWithoutDone(j *job) Progress {
+	p := Progress{State: j.state}
+	for _, s := range j.stages {
+		if s.unfinished == 0 {
+			continue
+		}
 		for _, t := range s.tasks {
 			if trial := t.trialToRecord(); trial != nil && !t.done {
 				if p.Confirmed == nil {
@@ -97,10 +176,13 @@
 			}
 		}
 	}
-	p.Workers = a.possibleWorkers(j)
+	p.Workers, p.WorkersUnknown = a.possibleWorkers(j), a.anyWorkerPossible(j)
 	return p
 }
 
+// anyWorkerPossible reports whether runs of the job may exist on any worker that has not reported.
+func (a *Arranger) anyWorkerPossible(j *job) bool { return j.workersUnknown && a.awaitsReport(j) }
+
 // possibleWorkers returns the IDs of the workers on which runs of the job may exist: those of its runs, those on which
 // it has claimed capacity, so that the start need not wait for the record, and those that a previous owner recorded
 // and that have not reported yet.
@@ -128,16 +210,14 @@
 	return fmt.Sprintf("%d.%d.%d", t.stage.occurrence, t.stage.stepNumber, t.index)
 }
 
-const bitsPerByte = 8
-
 func (s *stage) doneBits() string {
 	if s.unfinished == len(s.tasks) {
 		return ""
 	}
-	set := make([]byte, (len(s.tasks)+bitsPerByte-1)/bitsPerByte)
+	set := newBitSet(len(s.tasks))
 	for i, t := range s.tasks {
 		if t.done {
-			set[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+			set.add(i)
 		}
 	}
 	return hex.EncodeToString(set)
@@ -149,6 +229,7 @@
 		j.state = Running
 		j.started = true
 	}
+	numbered := a.decodeNumbered(j, p)
 	for _, s := range j.stages {
 		set, err := hex.DecodeString(p.Done[fmt.Sprintf("%d.%d", s.occurrence, s.stepNumber)])
 		if err != nil {
@@ -156,11 +237,14 @@
 			continue
 		}
 		for i, t := range s.tasks {
-			if i/bitsPerByte < len(set) && set[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
+			if bitSet(set).has(i) || numbered.isDone(t) {
 				t.done = true
 				s.unfinished--
 			}
-			kept := p.Tasks[t.key()]
+			kept, ok := p.Tasks[t.key()]
+			if !ok {
+				kept = numbered.countsOf(t)
+			}
 			t.failedRuns, t.checkpoint = slices.Clone(kept.FailedRuns), kept.Checkpoint
 			if len(kept.Crashes) > 0 {
 				t.crashes = slices.Clone(kept.Crashes)
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -292,7 +292,7 @@
 
 // countFailure counts a failed run once and fails the job if the task has used up its attempts.
 func (a *Arranger) countFailure(now time.Time, w *worker, t *task, e EndReport) {
-	if slices.Contains(t.failedRuns, e.Run) {
+	if a.counted(t, e.Run) {
 		return
 	}
 	a.attributeFailure(now, w, t.stage.job)
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -114,9 +114,11 @@
 	// inherited means that a previous owner may have started tasks of the job, on inheritedWorkers if it recorded them.
 	inherited        bool
 	inheritedWorkers []string
-	// workersUnknown means that the record of its workers could not be read.
+	// workersUnknown means that the record does not tell its workers.
 	workersUnknown bool
-	sequence       int
+	// held means that no further tasks are placed.
+	held     bool
+	sequence int
 	// failedOn and doneOn are the workers on which tasks of the job have failed and have completed.
 	failedOn, doneOn map[string]bool
 	// foundAtFault means that the job's failures have been attributed to the job and logged.
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -26,6 +26,8 @@
 const (
 	// waitReports means that the job is inherited and some worker may still run tasks of a previous owner.
 	waitReports waitReason = "reports awaited"
+	// waitRecord means that the progress of the job cannot be recorded.
+	waitRecord waitReason = "progress not recorded"
 	// waitPlaces means that places of earlier runs remain, so that a gang cannot be placed again.
 	waitPlaces waitReason = "places remain"
 	// waitClaim means that capacity is claimed, but the runs that it is taken from have not ended.
@@ -227,6 +229,9 @@
 	if a.awaitsReport(s.job) {
 		return waitReports
 	}
+	if s.job.held {
+		return waitRecord
+	}
 	if c.oldest == nil || !s.step.Gang && s.wait.block != notBlocked && c.waiting > 0 {
 		return s.wait.block.reason()
 	}
--- a/director/session.go
+++ b/director/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/snipelift/snipelift/arranger"
@@ -45,8 +46,8 @@
 	leasesExpire time.Duration
 	// lastEnded is the number of the last ended run that the worker has reported, lastRecorded that of the last one in the store.
 	lastEnded, lastRecorded int64
-	// change is the writer's change number that covers the reported ended runs.
-	change uint64
+	// unrecordedEnds are the ended runs after lastRecorded, in the order of their numbers.
+	unrecordedEnds []unrecordedEnd
 	// listed is true while the platform's list of workers contains the worker.
 	listed bool
 	// drained means that the worker is draining, runs nothing and will get no tasks, so that the next owner need not poll it.
@@ -58,6 +59,13 @@
 	leaseEnd time.Duration
 }
 
+// unrecordedEnd is a reported end of a run that is in the store once the change of its job is.
+type unrecordedEnd struct {
+	number int64
+	job    string
+	change uint64
+}
+
 // openSession starts a session with a worker unless there is one with this incarnation; the caller holds the term's mutex.
 func (t *term) openSession(info arranger.Worker) {
 	if s := t.sessions[info.ID]; s != nil {
@@ -239,17 +247,21 @@
 	for _, r := range received.Running {
 		report.Running = append(report.Running, arranger.RunReport{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent})
 	}
-	newEnded := false
+	known := len(s.unrecordedEnds)
 	for _, e := range received.Ended {
 		if e.Number > s.lastEnded {
 			s.lastEnded = e.Number
-			newEnded = true
+			job, _, _ := strings.Cut(e.Task, ".")
+			s.unrecordedEnds = append(s.unrecordedEnds, unrecordedEnd{number: e.Number, job: job})
 		}
 		report.Ended = append(report.Ended, arranger.EndReport{Number: e.Number, Task: e.Task, Run: e.Run, Outcome: runOutcome(e.Outcome), Checkpoint: e.Checkpoint})
 	}
 	t.arranger.HandleReport(time.Now(), report)
-	if newEnded {
-		s.change = t.writer.markJobsDirty(t.arranger.TakeDirtyJobs())
+	if known < len(s.unrecordedEnds) {
+		change := t.writer.markJobsDirty(t.arranger.TakeDirtyJobs())
+		for i := range s.unrecordedEnds[known:] {
+			s.unrecordedEnds[known+i].change = change
+		}
 		t.writer.signal()
 	}
 	s.setDrained(s.worker.Draining && len(received.Running) == 0 && !received.EndsOmitted && s.lastRecorded == s.lastEnded && !t.arranger.Occupied(s.worker.ID))
@@ -292,14 +304,26 @@
 	}
 }
 
-// updateRecorded advances lastRecorded once the store holds the reported ended runs, so that the worker may forget them; the caller holds the term's mutex.
+// updateRecorded advances lastRecorded through the ended runs that the store holds, which the worker may forget; the caller holds the term's mutex.
 func (s *session) updateRecorded() {
-	if s.lastRecorded < s.lastEnded && s.term.writer.isRecorded(s.change) {
-		s.lastRecorded = s.lastEnded
-		select {
-		case s.recordedSignal <- struct{}{}:
-		default:
+	if len(s.unrecordedEnds) == 0 {
+		return
+	}
+	recorded := 0
+	for _, end := range s.unrecordedEnds {
+		if !s.term.writer.isRecorded(end.job, end.change) {
+			break
 		}
+		s.lastRecorded = end.number
+		recorded++
+	}
+	if s.unrecordedEnds = s.unrecordedEnds[recorded:]; len(s.unrecordedEnds) > 0 {
+		return
+	}
+	s.unrecordedEnds = nil
+	select {
+	case s.recordedSignal <- struct{}{}:
+	default:
 	}
 }
 
--- a/director/speeds.go
+++ b/director/speeds.go
@@ -16,7 +16,7 @@
 func (t *term) addSpeeds(b *batch) {
 	w := &t.writer
 	now := t.now()
-	if now-w.speedsWrittenAt < minSpeedsInterval || w.singleRows {
+	if now-w.speedsWrittenAt < minSpeedsInterval || w.singleRows && len(b.puts) > 0 || w.isSetAside(b, registrar.SpeedsKey) {
 		return
 	}
 	w.speedsWrittenAt = now
--- a/director/term.go
+++ b/director/term.go
@@ -67,6 +67,10 @@
 	unsent map[string][]unsentStart
 	// recorded are the workers in the progress rows that this owner has written, by job.
 	recorded map[string]recordedWorkers
+	// mayNumber means that all entry VMs can read the numbered forms of progress, heldForForm are the jobs that are held until then.
+	mayNumber   bool
+	heldForForm map[string]bool
+	formCheck   chan struct{}
 	// inheritedExpiry is the local time at which all leases granted by previous owners have expired.
 	inheritedExpiry time.Duration
 	// loaded means that the state of the previous owner has been loaded.
@@ -83,13 +87,16 @@
 type jobRecord struct {
 	queue, organisation string
 	endedAt             time.Time
+	// form is the form in which the progress was recorded last, empty for the first one; numbered means that a previous owner used a numbered form.
+	form     string
+	numbered bool
 }
 
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version, acquiredAt: acquiredAt,
 		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, lives: map[string]life{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
-		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{},
+		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{}, heldForForm: map[string]bool{}, formCheck: make(chan struct{}, 1),
 	}
 	t.arranger = arranger.New(arranger.Options{
 		RunBase: lease.Epoch * runsPerEpoch, WorkersRecorded: lease.WorkersRecorded, StopTime: d.Bounds.StopTime, RemoteFactor: d.Bounds.RemoteFactor,
@@ -111,6 +118,7 @@
 		t.spawn(func() { t.followWorkers(ctx, versions.workers) })
 		t.spawn(func() { t.planLoop(ctx) })
 		t.spawn(func() { t.cleanLoop(ctx) })
+		t.spawn(func() { t.checkFormLoop(ctx) })
 	}
 	<-ctx.Done()
 	t.goroutines.Wait()
@@ -261,7 +269,7 @@
 			job.Policy = policy
 		}
 		progress := recorded[job.ID]
-		record := jobRecord{queue: job.Queue, organisation: job.Organisation}
+		record := jobRecord{queue: job.Queue, organisation: job.Organisation, numbered: progress.DoneTasks != "" || progress.Counts != ""}
 		if progress.EndedMillis > 0 {
 			record.endedAt = time.UnixMilli(progress.EndedMillis)
 		}
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -68,33 +68,58 @@
 	return gangs
 }
 
+// workerSet is the list of workers in a progress row, which may stand for all workers.
+type workerSet struct {
+	ids []string
+	all bool
+}
+
+func (s workerSet) has(worker string) bool { return s.all || slices.Contains(s.ids, worker) }
+
+// and returns the workers in both sets.
+func (s workerSet) and(o workerSet) workerSet {
+	if s.all {
+		return o
+	}
+	return workerSet{ids: slices.DeleteFunc(slices.Clone(s.ids), func(worker string) bool { return !o.has(worker) })}
+}
+
 // recordedWorkers are the workers in a job's progress row: those in the store, and those in a write whose outcome is
 // not known yet.
 type recordedWorkers struct {
-	stored, pending []string
+	stored, pending workerSet
 	isPending       bool
 }
 
 // lists reports whether the row in the store lists the worker, whatever the outcome of the pending write.
 func (r recordedWorkers) lists(worker string) bool {
-	return slices.Contains(r.stored, worker) && (!r.isPending || slices.Contains(r.pending, worker))
+	return r.stored.has(worker) && (!r.isPending || r.pending.has(worker))
 }
 
 // noteWrite records that a write of the job's row with the workers begins. After one without a known outcome, the row
 // may be that of either write; the caller holds the term's mutex.
-func (t *term) noteWrite(id string, workers []string) {
+func (t *term) noteWrite(id string, workers workerSet) {
 	r := t.recorded[id]
 	if r.isPending {
-		r.stored = slices.DeleteFunc(slices.Clone(r.stored), func(worker string) bool { return !slices.Contains(r.pending, worker) })
+		r.stored = r.stored.and(r.pending)
 	}
 	r.pending, r.isPending = workers, true
 	t.recorded[id] = r
 }
 
+// revertWrites records that the last writes of the jobs' rows were not executed and never will be.
+func (t *term) revertWrites(ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.recorded[id] = recordedWorkers{stored: t.recorded[id].stored}
+	}
+}
+
 // confirmWrites records that the last writes of the jobs' rows have been executed; the caller holds the term's mutex.
 func (t *term) confirmWrites(ids []string) {
 	for _, id := range ids {
-		if r := t.recorded[id]; len(r.pending) > 0 {
+		if r := t.recorded[id]; r.pending.all || len(r.pending.ids) > 0 {
 			t.recorded[id] = recordedWorkers{stored: r.pending}
 			continue
 		}
--- a/director/unsent_test.go
+++ b/director/unsent_test.go
@@ -82,7 +82,7 @@
 func TestRowsOfStartsAreWrittenFirst(t *testing.T) {
 	owner, start := newUnsentTerm(t)
 	for _, id := range []string{"0000000000000000", "1111111111111111", "2222222222222222"} {
-		owner.writer.dirtyJobs[id] = true
+		owner.writer.dirtyJobs[id] = 1
 	}
 	owner.writer.singleRows = true
 	owner.writer.shards = map[int]bool{}
@@ -103,7 +103,7 @@
 		{"reports awaited", func(owner *term) { owner.arranger.ExpectReport("w9", time.Now().Add(time.Minute)) }, false},
 		{"rows left", func(owner *term) {
 			owner.writer.singleRows = true
-			owner.writer.dirtyJobs = map[string]bool{"0000000000000000": true, "1111111111111111": true}
+			owner.writer.dirtyJobs = map[string]uint64{"0000000000000000": 1, "1111111111111111": 1}
 		}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -125,25 +125,25 @@
 		want   bool
 	}{
 		{"no row of this owner", func(*term) {}, false},
-		{"first write pending", func(owner *term) { owner.noteWrite("job", []string{"w1"}) }, false},
+		{"first write pending", func(owner *term) { owner.noteWrite("job", workerSet{ids: []string{"w1"}}) }, false},
 		{"written", func(owner *term) {
-			owner.noteWrite("job", []string{"w1"})
+			owner.noteWrite("job", workerSet{ids: []string{"w1"}})
 			owner.confirmWrites([]string{"job"})
 		}, true},
 		{"write without the worker pending", func(owner *term) {
-			owner.noteWrite("job", []string{"w1"})
+			owner.noteWrite("job", workerSet{ids: []string{"w1"}})
 			owner.confirmWrites([]string{"job"})
-			owner.noteWrite("job", nil)
+			owner.noteWrite("job", workerSet{})
 		}, false},
 		{"write without the worker has no known outcome", func(owner *term) {
-			owner.noteWrite("job", []string{"w1"})
+			owner.noteWrite("job", workerSet{ids: []string{"w1"}})
 			owner.confirmWrites([]string{"job"})
-			owner.noteWrite("job", nil)
-			owner.noteWrite("job", []string{"w1"})
+			owner.noteWrite("job", workerSet{})
+			owner.noteWrite("job", workerSet{ids: []string{"w1"}})
 		}, false},
 		{"written again after a write without a known outcome", func(owner *term) {
-			owner.noteWrite("job", nil)
-			owner.noteWrite("job", []string{"w1", "w2"})
+			owner.noteWrite("job", workerSet{})
+			owner.noteWrite("job", workerSet{ids: []string{"w1", "w2"}})
 			owner.confirmWrites([]string{"job"})
 		}, true},
 	} {
@@ -167,7 +167,7 @@
 		{[]string{"w1", "w2"}, 0},
 	} {
 		owner := newFleetTerm(t, time.Now(), 1)
-		owner.noteWrite("job", test.recorded)
+		owner.noteWrite("job", workerSet{ids: test.recorded})
 		owner.confirmWrites([]string{"job"})
 		var orders []arranger.StartOrder
 		for i, worker := range []string{"w1", "w2"} {
--- a/director/writer.go
+++ b/director/writer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -26,8 +27,6 @@
 	maxBatchRows = 90
 	// maxBatchBytes bounds the total size of the values in one transaction; the store accepts requests of 1 MB, in which base64 makes values a third longer.
 	maxBatchBytes = 512 << 10
-	// rejectedRetryDelay is the delay before a row that the store rejected is written again; other rows are written meanwhile.
-	rejectedRetryDelay = 5 * time.Second
 	// minPendingInterval is the minimum time between two writes of the numbers of waiting jobs.
 	minPendingInterval = 400 * time.Millisecond
 )
@@ -40,35 +39,37 @@
 	lastRenewal  atomic.Int64
 
 	mu sync.Mutex
-	// dirtyJobs are the jobs whose progress is to be written.
-	dirtyJobs map[string]bool
-	// lastChange numbers the changes; all of them up to recordedChange are in the store.
-	lastChange, recordedChange uint64
+	// lastChange numbers the changes.
+	lastChange uint64
+	// dirtyJobs are the jobs whose progress is to be written, unconfirmedJobs those in a write without a known outcome, with the number of the first
+	// change that is not known to be in the store.
+	dirtyJobs, unconfirmedJobs map[string]uint64
 	// removedJobs are the IDs of jobs whose progress rows are to be removed.
 	removedJobs []string
 	// shards are the numbers of the shards of the list of workers that are to be written, recordedShards the values in the store, by key, where they are known.
 	shards         map[int]bool
 	recordedShards map[string][]byte
-	// pending are the numbers of waiting jobs by queue as they were written last, pendingWrittenAt the time of the last attempt.
-	pending          map[string]int
+	// pending are the rows of the numbers of waiting jobs as they were written last, by key, pendingWrittenAt the time of the last attempt.
+	pending          map[string][]byte
 	pendingWrittenAt time.Duration
 	// speeds are the speeds of workers as they were written last, speedsWrittenAt the time of the last attempt.
 	speeds          map[string]registrar.WorkerSpeed
 	speedsWrittenAt time.Duration
 	// singleRows means that the store rejected a batch, so that its rows are written one at a time to find the invalid one.
 	singleRows bool
-	// rejectedAt holds the times of the last attempts to write the rows that the store rejected, by key.
-	rejectedAt map[string]time.Duration
+	// rejected are the rows that the store rejected, by key.
+	rejected map[string]rejection
 }
 
 func (w *writer) init(leaseVersion int64, acquiredAt time.Duration) {
 	w.leaseVersion = leaseVersion
 	w.lastRenewal.Store(int64(acquiredAt))
 	w.wakeup = make(chan struct{}, 1)
-	w.dirtyJobs = map[string]bool{}
+	w.dirtyJobs, w.unconfirmedJobs = map[string]uint64{}, map[string]uint64{}
+	w.pending = map[string][]byte{}
 	w.shards = map[int]bool{}
 	w.recordedShards = map[string][]byte{}
-	w.rejectedAt = map[string]time.Duration{}
+	w.rejected = map[string]rejection{}
 }
 
 // renewedAt returns when the last confirmed write was sent.
@@ -86,11 +87,18 @@
 func (w *writer) markJobsDirty(ids []string) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.addDirtyJobs(ids)
+	return w.lastChange
+}
+
+// addDirtyJobs numbers a change of jobs whose progress is to be written; the caller holds the mutex.
+func (w *writer) addDirtyJobs(ids []string) {
+	w.lastChange++
 	for _, id := range ids {
-		w.dirtyJobs[id] = true
+		if _, dirty := w.dirtyJobs[id]; !dirty {
+			w.dirtyJobs[id] = w.lastChange
+		}
 	}
-	w.lastChange++
-	return w.lastChange
 }
 
 // markShardDirty marks a shard of the list of workers that is to be written.
@@ -115,14 +123,19 @@
 	w.signal()
 }
 
-// isRecorded reports whether all changes up to the number are in the store.
-func (w *writer) isRecorded(change uint64) bool {
+// isRecorded reports whether the changes of the job up to the number are in the store.
+func (w *writer) isRecorded(id string, change uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.recordedChange >= change
+	for _, unrecorded := range []map[string]uint64{w.dirtyJobs, w.unconfirmedJobs} {
+		if first, ok := unrecorded[id]; ok && first <= change {
+			return false
+		}
+	}
+	return true
 }
 
-// batch is the content of one transaction; complete means that it holds everything that is to be written, up to lastChange.
+// batch is the content of one transaction; complete means that nothing else is to be written, up to lastChange.
 type batch struct {
 	jobs       []string
 	shards     []int
@@ -131,7 +144,7 @@
 	puts       []platform.Row
 	removes    []platform.Row
 	bytes      int
-	newPending map[string]int
+	pending    []platform.Row
 	// workersRecorded means that with this batch the store lists the workers of all jobs.
 	workersRecorded bool
 }
@@ -189,6 +202,7 @@
 		return false
 	case errors.Is(err, platform.ErrRejected):
 		t.requeueBatch(b)
+		t.revertWrites(b.jobs)
 		t.handleRejection(b, err)
 		if len(b.puts) == 0 {
 			sleeper.Sleep(ctx, writeRetryDelay)
@@ -196,6 +210,9 @@
 		return ctx.Err() == nil
 	default:
 		t.requeueBatch(b)
+		if errors.Is(err, platform.ErrNotExecuted) {
+			t.revertWrites(b.jobs)
+		}
 		if ctx.Err() == nil {
 			t.Logger.Warn("batch not written", "error", err.Error(), "rows", len(b.puts))
 		}
@@ -204,21 +221,6 @@
 	}
 }
 
-// handleRejection switches to writing rows one at a time after the store rejected a batch, and sets a rejected single row aside, so that it does not block renewals of the lease.
-func (t *term) handleRejection(b batch, err error) {
-	w := &t.writer
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(b.puts) != 1 {
-		w.singleRows = true
-		t.Logger.Error("batch rejected by the store, writing its rows one at a time", "rows", len(b.puts), "bytes", b.bytes, "error", err.Error())
-		return
-	}
-	w.rejectedAt[b.puts[0].Key] = t.now()
-	w.singleRows = false
-	t.Logger.Error("row rejected by the store, trying again later", "table", b.puts[0].Table, "key", b.puts[0].Key, "bytes", b.bytes, "error", err.Error())
-}
-
 // errLeaseLost means that another process holds the lease.
 var errLeaseLost = errors.New("another process holds the lease")
 
@@ -282,7 +284,8 @@
 func (t *term) rereadLease(ctx context.Context) error {
 	row, err := t.Store.Get(ctx, registrar.LeaseTable, registrar.OwnerPartition, registrar.LeaseKey)
 	if err != nil {
-		return err
+		// Why the read failed says nothing about the write.
+		return fmt.Errorf("%w: read lease: %s", platform.ErrOutcomeUnknown, err.Error())
 	}
 	return t.adoptLeaseVersion(row)
 }
@@ -295,16 +298,19 @@
 	w := &t.writer
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, id := range dirtyJobs {
-		w.dirtyJobs[id] = true
+	if len(dirtyJobs) > 0 {
+		w.addDirtyJobs(dirtyJobs)
 	}
 	b := batch{lastChange: w.lastChange, complete: true}
+	if t.retryRejected(&b) {
+		return b
+	}
 	t.addWorkers(&b)
 	t.addProgress(&b)
 	t.addRemovals(&b)
 	t.addPending(&b)
 	t.addSpeeds(&b)
-	if b.complete && len(w.rejectedAt) == 0 {
+	if b.complete && len(w.rejected) == 0 {
 		w.singleRows = false
 	}
 	b.workersRecorded = b.complete && t.loaded && !t.arranger.AwaitsReports()
@@ -319,16 +325,6 @@
 	return maxBatchRows
 }
 
-// deferRejected reports whether the store rejected the row less than rejectedRetryDelay ago, and marks the batch as incomplete if so.
-func (w *writer) deferRejected(b *batch, key string, now time.Duration) bool {
-	attemptedAt, ok := w.rejectedAt[key]
-	if !ok || now-attemptedAt >= rejectedRetryDelay {
-		return false
-	}
-	b.complete = false
-	return true
-}
-
 // addWorkers adds the changed shards of the list of workers; they come first, since the next owner may not poll a worker that is not recorded.
 func (t *term) addWorkers(b *batch) {
 	w := &t.writer
@@ -339,7 +335,7 @@
 		case bytes.Equal(row.Value, w.recordedShards[row.Key]):
 			delete(w.shards, shard)
 			t.confirmCleared(row)
-		case w.deferRejected(b, row.Key, t.now()):
+		case w.isSetAside(b, row.Key):
 		case b.add(row, w.rowLimit()):
 			delete(w.shards, shard)
 			b.shards = append(b.shards, shard)
@@ -355,7 +351,7 @@
 	w := &t.writer
 	// Starts wait for the rows of their jobs.
 	for id := range t.unsent {
-		if w.dirtyJobs[id] && !t.addJob(b, id) {
+		if _, dirty := w.dirtyJobs[id]; dirty && !t.addJob(b, id) {
 			return
 		}
 	}
@@ -369,19 +365,24 @@
 // addJob adds the progress row of a dirty job and returns false if the batch is full.
 func (t *term) addJob(b *batch, id string) bool {
 	w := &t.writer
-	if w.deferRejected(b, id, t.now()) {
+	if w.isSetAside(b, id) {
 		return true
 	}
 	if len(b.puts) >= w.rowLimit() {
 		b.complete = false
 		return false
 	}
-	row := t.progressRow(id)
+	row, ok := t.progressRow(id)
+	if !ok {
+		b.complete = false
+		return true
+	}
 	if !b.add(row.Row, w.rowLimit()) {
 		b.complete = false
 		return false
 	}
 	t.noteWrite(id, row.workers)
+	w.unconfirmedJobs[id] = w.dirtyJobs[id]
 	delete(w.dirtyJobs, id)
 	b.jobs = append(b.jobs, id)
 	return true
@@ -402,72 +403,49 @@
 func (t *term) addPending(b *batch) {
 	w := &t.writer
 	now := t.now()
-	if now-w.pendingWrittenAt < minPendingInterval || w.singleRows {
+	if now-w.pendingWrittenAt < minPendingInterval {
 		return
 	}
-	pending := t.arranger.PendingJobs()
-	if maps.Equal(pending, w.pending) {
-		return
-	}
-	row := platform.Row{Table: registrar.FleetTable, Partition: registrar.OwnerPartition, Key: registrar.PendingKey, Value: registrar.Encode(pending)}
-	if !b.add(row, maxBatchRows+1) {
-		return
+	limit := maxBatchRows + 1
+	if w.singleRows {
+		limit = 1
 	}
-	b.newPending = pending
-	w.pendingWrittenAt = now
-}
-
-// progressRow is a progress row with the workers that it lists.
-type progressRow struct {
-	platform.Row
-	workers []string
-}
-
-// progressRow returns the current progress row of a job, without checkpoints if it would be too large with them.
-func (t *term) progressRow(id string) progressRow {
-	record := t.records[id]
-	p := registrar.Progress{Progress: t.arranger.Progress(id), Organisation: record.organisation, Queue: record.queue}
-	if p.State.Final() {
-		if record.endedAt.IsZero() {
-			record.endedAt = time.Now()
-			t.records[id] = record
+	for _, row := range registrar.PendingRows(t.arranger.PendingJobs()) {
+		if bytes.Equal(row.Value, w.pending[row.Key]) {
+			continue
 		}
-		p.EndedMillis = record.endedAt.UnixMilli()
-	}
-	row := registrar.ProgressRow(id)
-	row.Value = registrar.Encode(p)
-	if len(row.Value) > registrar.MaxValueBytes {
-		// A row that the store rejects delays the others and the renewal of the lease.
-		t.Logger.Warn("progress too large, checkpoints not recorded", "job", id, "bytes", len(row.Value))
-		p.Progress = p.WithoutCheckpoints()
-		row.Value = registrar.Encode(p)
+		if w.isSetAside(b, row.Key) || !b.add(row, limit) {
+			return
+		}
+		b.pending = append(b.pending, row)
+		w.pendingWrittenAt = now
 	}
-	return progressRow{Row: row, workers: p.Workers}
 }
 
 // isWorkerShard reports whether the row is a shard of the list of known workers.
 func isWorkerShard(row platform.Row) bool {
-	return row.Table == registrar.FleetTable && row.Key != registrar.PendingKey && row.Key != registrar.SpeedsKey
+	return row.Table == registrar.FleetTable && !registrar.IsPendingKey(row.Key) && row.Key != registrar.SpeedsKey
 }
 
 // confirmBatch marks the content of a written batch as recorded.
 func (t *term) confirmBatch(b batch) {
 	w := &t.writer
 	w.mu.Lock()
-	if b.complete {
-		w.recordedChange = max(w.recordedChange, b.lastChange)
+	for _, id := range b.jobs {
+		delete(w.unconfirmedJobs, id)
 	}
-	if b.newPending != nil {
-		w.pending = b.newPending
+	for _, row := range b.pending {
+		w.pending[row.Key] = row.Value
 	}
 	for _, row := range b.puts {
 		if isWorkerShard(row) {
 			w.recordedShards[row.Key] = row.Value
 		}
-		delete(w.rejectedAt, row.Key)
 	}
+	accepted := w.forgetRejections(b.puts)
 	w.mu.Unlock()
 	t.mu.Lock()
+	t.releaseAccepted(accepted)
 	for _, s := range t.sessions {
 		s.updateRecorded()
 	}
@@ -487,7 +465,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, id := range b.jobs {
-		w.dirtyJobs[id] = true
+		w.dirtyJobs[id] = w.unconfirmedJobs[id]
+		delete(w.unconfirmedJobs, id)
 	}
 	for _, row := range b.removes {
 		w.removedJobs = append(w.removedJobs, row.Key)
@@ -497,7 +476,9 @@
 		// The write may still be executed later, so the value in the store is unknown.
 		delete(w.recordedShards, registrar.WorkerShardRow(shard).Key)
 	}
-	if b.newPending != nil {
+	for _, row := range b.pending {
+		// The write may still be executed later.
+		delete(w.pending, row.Key)
 		w.pendingWrittenAt = 0
 	}
 }
--- a/faker/rowstore.go
+++ b/faker/rowstore.go
@@ -48,6 +48,8 @@
 	Delay time.Duration
 	// RejectRow is the TABLE/KEY of a row; transactions that write it are rejected with status 400.
 	RejectRow string
+	// MaxValue is the maximum size of the value of a row in bytes if it is smaller than that of the platform; 0 means that it is not.
+	MaxValue int
 }
 
 const (
@@ -99,10 +101,15 @@
 	if err != nil {
 		panic("faker: row cannot be encoded: " + err.Error())
 	}
+	s.PutRow(table, "", key, data)
+}
+
+// PutRow writes a row of any partition without conditions.
+func (s *RowStore) PutRow(table, partition, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.store(storedRow{Table: table, Key: key, Value: data, Ver: s.version})
+	s.store(storedRow{Table: table, Partition: partition, Key: key, Value: value, Ver: s.version})
 	s.notifyFeeds()
 }
 
@@ -249,7 +256,11 @@
 	}
 	for _, row := range slices.Concat(t.Upserts, t.Remove) {
 		partitions[row.Partition] = true
-		if len(row.Value) > maxValue || row.Table+"/"+row.Key == s.faults.RejectRow {
+		limit := maxValue
+		if s.faults.MaxValue > 0 {
+			limit = s.faults.MaxValue
+		}
+		if len(row.Value) > limit || row.Table+"/"+row.Key == s.faults.RejectRow {
 			return http.StatusBadRequest, rowResponse{}
 		}
 		if row.Table == "op" || row.Table == "servers" {
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -160,6 +160,13 @@
 	changed      chan struct{}
 }
 
+// UnacknowledgedEnds returns the number of ended runs that the worker has to keep.
+func (w *TaskWorker) UnacknowledgedEnds() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.endedRuns)
+}
+
 // Add adds a worker to the fleet and returns it.
 func (f *TaskFleet) Add(id string, accelerators int) *TaskWorker {
 	w := &TaskWorker{fleet: f, ID: id, accelerators: accelerators}
--- a/hoster/peers.go
+++ b/hoster/peers.go
@@ -42,7 +42,7 @@
 func (p *Process) refreshPeers(ctx context.Context) error {
 	now := time.Now()
 	row := registrar.EntryRow(p.Settings.Node)
-	row.Value = registrar.Encode(registrar.Entry{PeerEndpoint: p.Settings.PeerAddress, SeenMillis: now.UnixMilli()})
+	row.Value = registrar.Encode(registrar.Entry{PeerEndpoint: p.Settings.PeerAddress, SeenMillis: now.UnixMilli(), ProgressForms: registrar.ProgressForms})
 	if _, err := p.store.Transact(ctx, platform.Transaction{Put: []platform.Row{row}}); err != nil {
 		return err
 	}
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -45,6 +45,13 @@
 	workerShardEnd    = "workers."
 )
 
+const (
+	// pendingShards is the number of rows among which the numbers of waiting jobs are divided if a single one would be too large.
+	pendingShards = 32
+	// pendingShardsKey stands for the number of these rows in the row PendingKey; it is no name of a queue.
+	pendingShardsKey = "\x00shards"
+)
+
 // MaxValueBytes is the maximum size of a row value in the store.
 const MaxValueBytes = 64 << 10
 
@@ -168,6 +175,44 @@
 	return platform.Row{Table: FleetTable, Partition: OwnerPartition, Key: fmt.Sprintf("%s%02d", workerShardPrefix, shard)}
 }
 
+// PendingRows returns the rows of the numbers of waiting jobs by queue: one, or several if that would be too large.
+func PendingRows(counts map[string]int) []platform.Row {
+	row := platform.Row{Table: FleetTable, Partition: OwnerPartition, Key: PendingKey, Value: Encode(counts)}
+	if len(row.Value) <= MaxValueBytes {
+		return []platform.Row{row}
+	}
+	shards := make([]map[string]int, pendingShards)
+	for queue, count := range counts {
+		shard := &shards[hash(queue)%pendingShards]
+		if *shard == nil {
+			*shard = map[string]int{}
+		}
+		(*shard)[queue] = count
+	}
+	var rows []platform.Row
+	for i, shard := range shards {
+		rows = append(rows, platform.Row{Table: FleetTable, Partition: OwnerPartition, Key: pendingShardKey(i), Value: Encode(shard)})
+	}
+	// The first row comes last, since it makes the others valid.
+	row.Value = Encode(map[string]int{pendingShardsKey: pendingShards})
+	return append(rows, row)
+}
+
+// PendingShardKey returns the key of the row that holds the number of waiting jobs of the queue, given the content of the row PendingKey; that is
+// PendingKey itself unless there are several rows.
+func PendingShardKey(counts map[string]int, queue string) string {
+	shards := counts[pendingShardsKey]
+	if shards <= 0 {
+		return PendingKey
+	}
+	return pendingShardKey(int(hash(queue)) % shards)
+}
+
+// IsPendingKey reports whether the key is that of a row of the numbers of waiting jobs.
+func IsPendingKey(key string) bool { return strings.HasPrefix(key, PendingKey) }
+
+func pendingShardKey(shard int) string { return fmt.Sprintf("%s-%02d", PendingKey, shard) }
+
 // WorkerKeys returns the half-open range [from, to) of the keys of the known workers and of their speeds.
 func WorkerKeys() (from, to string) { return SpeedsKey, workerShardEnd }
 
@@ -177,8 +222,13 @@
 	PeerEndpoint string `json:"link"`
 	// SeenMillis is the Unix time in milliseconds at which the record was written.
 	SeenMillis int64 `json:"seenMillis"`
+	// ProgressForms is the number of forms of the progress of jobs that the VM can read; earlier versions of the program, which can read one, omit it.
+	ProgressForms int `json:"progressForms,omitempty"`
 }
 
+// ProgressForms is the number of forms of the progress of jobs that this version of the program can read.
+const ProgressForms = 3
+
 // EntryRow returns the row of an entry VM; its key starts with a hash of the name, so that the rows after any key are a random sample across availability zones.
 func EntryRow(node string) platform.Row {
 	return platform.Row{Table: EntryTable, Partition: EntryPartition, Key: EntryKeyPrefix(hash(node)) + "-" + node}
