faker: Send the responses to starts under the lock

Both reports are of the fake worker: serveStart sent its response after it had released the lock, while a restart wrote the fields that the response holds.

Cause: not new; the response could also name the next incarnation for a start that the earlier one had received. Ruled out: the product, whose code is in neither stack but as the caller.

Change: the response is sent before the lock is released, as those to polls and stops are.

--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -55,6 +55,7 @@
 	Ticket     string `json:"ticket"`
 }
 
+// respond writes a response of this incarnation; the caller holds the fleet's lock.
 func (w *TaskWorker) respond(rw http.ResponseWriter, status int, fields map[string]any) {
 	fields["clockMs"] = w.clock().Milliseconds()
 	fields["born"] = w.incarnation
@@ -94,15 +95,13 @@
 		w.lostReplies--
 	}
 	status, reason := w.startTask(rw, request)
+	if !lost && status != 0 {
+		w.respond(rw, status, map[string]any{"reason": reason})
+	}
 	w.fleet.mu.Unlock()
 	if lost {
 		<-r.Context().Done()
-		return
-	}
-	if status == 0 {
-		return
 	}
-	w.respond(rw, status, map[string]any{"reason": reason})
 }
 
 // settled reports whether an earlier incarnation has fenced off a start or ended its run. No owner can fence off the next incarnation before its
