arranger: Skip units by all that decides where they may run

Cause: a pass skips the units of a class that found no room, and the class, a list of fields kept by hand, left out the limit for each worker.

Change: the class holds all fields of a step that decide where its tasks may run, and whether the unit may use what is kept free for gangs. A search that was decided by the unit's own runs, or by workers on probation for another job, says nothing of others. Related: the room of an empty fleet left out the same limit and advice, so that a gang that never fits kept accelerators free for good, and spread late or never; it waits as "exceeds the fleet" now.

--- a/arranger/advice.go
+++ b/arranger/advice.go
@@ -67,6 +67,16 @@
 	return ok
 }
 
+// forbidden reports whether the queue's policy is known not to permit the worker.
+func (s *stage) forbidden(w *worker) bool {
+	if !s.job.Policy.Advised || s.advice == nil {
+		return false
+	}
+	incarnation, requested := s.advice.requested[w.ID]
+	_, permitted := s.advice.tickets[w.ID]
+	return requested && !permitted && incarnation == w.Incarnation
+}
+
 // stepName returns the name of the stage in advice requests.
 func (s *stage) stepName() string {
 	return s.job.ID + "." + strconv.Itoa(s.occurrence) + "." + strconv.Itoa(s.stepNumber)
--- a/arranger/idle_test.go
+++ b/arranger/idle_test.go
@@ -22,6 +22,8 @@
 	simLeaseExpiry = 11 * time.Second
 	simStartTime   = 1260 * time.Millisecond
 	simPollTimeout = 2100 * time.Millisecond
+	// simLeastWorkers is the number of workers below which none leaves.
+	simLeastWorkers = 18
 )
 
 type simRun struct {
@@ -55,6 +57,8 @@
 	steps   map[string][]Step
 	idle    map[string]time.Time
 	faults  bool
+	// constrained means that steps limit their tasks on one worker and that workers leave for good.
+	constrained bool
 }
 
 func newSimFleet(t *testing.T, seed uint64) *simFleet {
@@ -94,6 +98,10 @@
 	if f.random.IntN(2) == 0 {
 		s = gang(2+f.random.IntN(15), []int{1, 2, 4, 8}[f.random.IntN(4)])
 	}
+	if f.constrained {
+		s.SameRack = false
+		s.MaxPerWorker = f.random.IntN(3)
+	}
 	s.Checkpoints = f.random.IntN(2) == 0
 	s.Estimate = time.Duration(1+f.random.IntN(8)) * time.Second
 	j := jobOf(id, f.random.IntN(3), s)
@@ -129,6 +137,11 @@
 	case 6:
 		w.info.Draining = !w.info.Draining
 		f.SetWorker(f.now, w.info)
+	case 7:
+		if f.constrained && len(f.members) > simLeastWorkers && !f.silent(w) && !w.polling && len(w.runs) == 0 && len(w.ended) == 0 && !f.Occupied(w.info.ID) {
+			f.members = slices.DeleteFunc(f.members, func(other *simWorker) bool { return other == w })
+			f.RemoveWorker(f.now, w.info.ID, "left")
+		}
 	default:
 	}
 }
@@ -170,6 +183,17 @@
 	}
 }
 
+// count returns the number of runs of the job on the worker.
+func (w *simWorker) count(job string) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *simFleet) count(r *simRun) int {
 	n := 0
 	for _, w := range f.members {
@@ -305,7 +329,11 @@
 			need = s.step.Count
 		}
 		for _, w := range usable {
-			room += max(0, w.free().FitCount(s.step.Need))
+			fit := max(0, w.free().FitCount(s.step.Need))
+			if s.step.MaxPerWorker > 0 {
+				fit = min(fit, max(0, s.step.MaxPerWorker-w.count(j.ID)))
+			}
+			room += fit
 		}
 		running := slices.ContainsFunc(s.tasks, func(t *task) bool { return t.place != nil && t.place.state == placeStarting })
 		for _, w := range f.members {
@@ -379,9 +407,21 @@
 
 // Random faults end at the same time as the traffic; the fleet must not stay idle after that.
 func TestNoTaskWaitsInAnIdleFleetAfterRandomFaults(t *testing.T) {
+	testIdleFleet(t, false)
+}
+
+// review/7: gangs that limit their tasks on one worker kept others waiting once a worker had left.
+func TestNoConstrainedTaskWaitsInAnIdleFleetAfterRandomFaults(t *testing.T) {
+	testIdleFleet(t, true)
+}
+
+func testIdleFleet(t *testing.T, constrained bool) {
+	t.Helper()
 	for seed := range *idleSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			f := newSimFleet(t, seed)
+			f.constrained = constrained
+			f.checkSkips()
 			f.faults = true
 			for f.now.Sub(start) < simFaultTime {
 				if f.random.IntN(6) == 0 {
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -187,10 +187,14 @@
 	if w.Service != s.job.Policy.Service || !w.has(s.step.Requires) || !w.Capacity.Covers(s.step.Need) {
 		return false
 	}
-	if s.step.MaxPerWorker > 0 && cand.count(s)+t.placedOn(cand) >= s.step.MaxPerWorker {
-		return false
+	if s.step.MaxPerWorker > 0 {
+		if own := cand.count(s); own+t.placedOn(cand) >= s.step.MaxPerWorker {
+			t.pass.specific = t.pass.specific || own > 0
+			return false
+		}
 	}
 	if cand.probation != nil && cand.probation != s.job {
+		t.pass.specific = true
 		return false
 	}
 	return !w.conflicts(s.step) && s.mayRunOn(w, t.pass.now)
--- a/arranger/room.go
+++ b/arranger/room.go
@@ -19,15 +19,20 @@
 	withTickets := usable + fleet.withoutTicket
 	withAvoided := withTickets + fleet.avoided
 	withExcluded := withAvoided + fleet.excluded
-	if key.gang && key.sameRack {
+	if key.placement.Gang && key.placement.SameRack {
 		usable, withTickets, withAvoided, withExcluded = best.usable, best.withoutTicket, best.avoided, best.excluded
 	}
 	details := []any{
 		"wanted", count, "suitableWorkers", suitable, "room", fleet.usable, "bestRack", best.usable, "withoutTicket", fleet.withoutTicket,
 		"avoided", fleet.avoided, "excluded", fleet.excluded, "freeAccelerators", ps.free,
 	}
+	if u.stage.wait.block == blockedByClass {
+		details = append(details, "notSearchedFor", ps.now.Sub(u.stage.wait.searchedAt).String())
+	}
 	first := ps.unplaceable[key].stage
 	switch {
+	case u.stage.step.Gang && ps.emptyCapacity(u.stage).all < count:
+		return waitExceedsFleet, append(details, "roomIfEmpty", ps.emptyCapacity(u.stage).all)
 	case usable >= count && first != nil && first != u.stage:
 		return waitClass, append(details, "first", first.stepName(), "firstReason", string(first.wait.block.reason()))
 	case usable >= count:
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -103,25 +103,10 @@
 	// acceptsSuspects means that the unit being placed has to make do with workers that it would avoid; avoided means
 	// that it avoided one that has room for it.
 	acceptsSuspects, avoided bool
-}
-
-// unplaceable is the smallest number of tasks of a class that found no capacity, and the stage that it was.
-type unplaceable struct {
-	count int
-	stage *stage
-}
-
-// unitClass groups units that need the same kind of capacity.
-type unitClass struct {
-	need     Resources
-	rank     rank
-	gang     bool
-	sameRack bool
-	requires string
-	service  string
-	// advised is the stage itself if its tickets decide which workers may run it.
-	advised                      *stage
-	latencySensitive, bestEffort bool
+	// specific means that the search for the unit being placed depended on more than its class.
+	specific bool
+	// retried is the stage that is searched for in this pass although its class has no room, or nil.
+	retried *stage
 }
 
 func (a *Arranger) newPass(now time.Time, ranks map[*job]rank) *pass {
@@ -200,20 +185,18 @@
 // place finds capacity for a unit and orders its start, or claims capacity and preempts the runs that use it.
 func (ps *pass) place(u unit) {
 	u.stage.wait.block = notBlocked
-	key, count := ps.classOf(u)
-	if least, ok := ps.unplaceable[key]; ok && count >= least.count {
+	if ps.skips(u) {
 		u.stage.wait.block = blockedByClass
 		u.stage.recordNoRoom(ps.now)
 		return
 	}
+	u.stage.wait.searchedAt = ps.now
 	if u.stage.step.Gang {
 		if ps.mustDeferStart(u) {
 			return
 		}
 		if !ps.placeAllOrNone(u, u.stage.tasks) {
-			if !ps.avoided {
-				ps.unplaceable[key] = unplaceable{count: count, stage: u.stage}
-			}
+			ps.markUnplaceable(u)
 			u.stage.recordNoRoom(ps.now)
 			ps.reserveForGang(u)
 		}
@@ -233,9 +216,7 @@
 				suspectsWait = suspectsWait || t.suspected()
 				continue
 			}
-			if !ps.avoided && u.stage.step.MaxPerWorker == 0 {
-				ps.unplaceable[key] = unplaceable{count: count, stage: u.stage}
-			}
+			ps.markUnplaceable(u)
 			return
 		}
 	}
@@ -263,29 +244,9 @@
 	return true
 }
 
-// classOf returns the class of a unit and its number of tasks; if a unit finds no capacity, neither does
-// another one of its class with at least as many tasks.
-func (ps *pass) classOf(u unit) (unitClass, int) {
-	step := u.stage.step
-	key := unitClass{
-		need: step.Need, rank: u.rank, gang: step.Gang, sameRack: step.SameRack, requires: step.Requires,
-		service: u.stage.job.Policy.Service, latencySensitive: step.LatencySensitive, bestEffort: step.BestEffort,
-	}
-	if u.stage.job.Policy.Advised {
-		key.advised = u.stage
-	}
-	count := 1
-	if step.Gang {
-		count = len(u.stage.tasks)
-		// A gang that may be spread over racks says nothing about one that may not, and the other way round.
-		key.sameRack = step.SameRack && !ps.maySpread(u.stage)
-	}
-	return key, count
-}
-
 // placeAllOrNone places all of the tasks or none of them.
 func (ps *pass) placeAllOrNone(u unit, tasks []*task) bool {
-	ps.acceptsSuspects, ps.avoided = false, false
+	ps.acceptsSuspects, ps.avoided, ps.specific = false, false, false
 	if ps.exceedsReserve(u, tasks) {
 		u.stage.wait.block = blockedByReserve
 		return false
@@ -370,9 +331,12 @@
 }
 
 type emptyCapacityKey struct {
-	need     Resources
-	requires string
-	service  string
+	need         Resources
+	requires     string
+	service      string
+	maxPerWorker int
+	// advised is the stage itself if the advice service decides which workers may run it.
+	advised *stage
 }
 
 // emptyCapacity is the number of tasks of a step that the usable workers of a rack, at most, and the whole fleet
@@ -380,15 +344,21 @@
 type emptyCapacity struct{ rack, all int }
 
 func (ps *pass) emptyCapacity(of *stage) emptyCapacity {
-	key := emptyCapacityKey{need: of.step.Need, requires: of.step.Requires, service: of.job.Policy.Service}
+	key := emptyCapacityKey{need: of.step.Need, requires: of.step.Requires, service: of.job.Policy.Service, maxPerWorker: of.step.MaxPerWorker}
+	if of.job.Policy.Advised {
+		key.advised = of
+	}
 	if known, ok := ps.tasksThatFit[key]; ok {
 		return known
 	}
 	perRack := map[string]int{}
 	var e emptyCapacity
 	for _, w := range ps.arranger.sortedWorkers {
-		if w.Service == key.service && w.has(key.requires) && !w.Draining {
+		if w.Service == key.service && w.has(key.requires) && !w.Draining && !of.forbidden(w) {
 			tasksThatFit := w.Capacity.FitCount(key.need)
+			if key.maxPerWorker > 0 {
+				tasksThatFit = min(tasksThatFit, key.maxPerWorker)
+			}
 			e.all += tasksThatFit
 			if w.candidate != nil || ps.arranger.awaits(w) {
 				perRack[w.Rack] += tasksThatFit
@@ -410,6 +380,9 @@
 func (ps *pass) commit(u unit, tasks []*task, p *packing) {
 	a := ps.arranger
 	u.stage.noRoomSince = time.Time{}
+	if u.stage == ps.retried {
+		a.options.Log("room found for a unit whose class had none", "job", u.stage.job.ID, "step", u.stage.stepName(), "tasks", len(tasks), "need", u.stage.step.Need)
+	}
 	for _, victim := range p.victims {
 		a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
 			"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -50,6 +50,8 @@
 	waitRack waitReason = "no rack has room"
 	// waitCapacity means that the fleet has no room.
 	waitCapacity waitReason = "no room"
+	// waitExceedsFleet means that the fleet could not run the gang if it were empty.
+	waitExceedsFleet waitReason = "exceeds the fleet"
 	// waitClass means that there is room, but an earlier unit of the same class found none in the same pass.
 	waitClass waitReason = "class has no room"
 	// waitUnexplained means that there is room and nothing is known to prevent a start.
@@ -92,6 +94,8 @@
 	hasRun bool
 	// block is what kept the stage from being placed in the latest pass that it took part in.
 	block block
+	// searchedAt is when a pass last searched for room, or first skipped the stage.
+	searchedAt time.Time
 	// failedStarts is the number of starts and claims since the beginning of the wait that did not succeed.
 	failedStarts int
 }
