arranger: Judge long-running tasks and occurrences by their own time

Cause: its job counts as worthless from three times its deadline after its acceptance, and worthless work comes after all other; and the accelerators kept free for urgent work were kept from it for as long as the fleet was busy.

Change: long-running tasks have no deadline, and come first within their priority; after a second without room they precede all work that is not urgent and may use what is kept free. Related: each later occurrence of a job counted as worthless from its beginning; it is judged by its own due time.

Conclusion: fixed; what a full fleet of such tasks does to other work was not measured.

--- a/arranger/class.go
+++ b/arranger/class.go
@@ -16,9 +16,9 @@
 type unitClass struct {
 	placement placement
 	rank      rank
-	// nearDeadline means that the unit may use what is kept free for gangs.
-	nearDeadline bool
-	service      string
+	// nearDeadline means that the unit may use what is kept free for gangs, usesReserve that it may use all that is kept free.
+	nearDeadline, usesReserve bool
+	service                   string
 	// advised is the stage itself if its tickets decide which workers may run it.
 	advised *stage
 }
@@ -49,7 +49,7 @@
 // classOf returns the class of a unit and its number of tasks; if a unit finds no capacity, neither does
 // another one of its class with at least as many tasks.
 func (ps *pass) classOf(u unit) (unitClass, int) {
-	key := unitClass{placement: u.stage.step.placement(), rank: u.rank, nearDeadline: ps.isNearDeadline(u), service: u.stage.job.Policy.Service}
+	key := unitClass{placement: u.stage.step.placement(), rank: u.rank, nearDeadline: ps.isNearDeadline(u), usesReserve: ps.mayUseReserve(u), service: u.stage.job.Policy.Service}
 	if u.stage.job.Policy.Advised {
 		key.advised = u.stage
 	}
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -24,6 +24,9 @@
 	// startTimeout is the age at which a start without an outcome is stopped, from the decision on. Recording its
 	// worker and both tries to send it take less unless the store is unavailable.
 	startTimeout = 5 * time.Second
+	// longRunningWait is how long long-running tasks wait for room by their priority; then they precede all work that is not urgent, since that ends and they do not,
+	// and may use all that is kept free.
+	longRunningWait = time.Second
 	// worthlessFactor times the period from acceptance to deadline is when a job's result has lost all value to
 	// its caller.
 	worthlessFactor = 3
@@ -126,12 +129,21 @@
 
 func (a *Arranger) unitOf(now time.Time, s *stage, r rank) unit {
 	j := s.job
-	remaining := j.remainingTime()
-	u := unit{stage: s, rank: r, latestStart: j.deadline.Add(-remaining)}
+	if s.step.LongRunning {
+		// Its tasks have no end to be late for: they are worth what they run, at any time.
+		if s.hasWaited(now, longRunningWait) {
+			r = min(r, rankUrgent+1)
+		}
+		return unit{stage: s, rank: r, lateness: onTime, latestStart: j.Accepted}
+	}
+	remaining := j.remainingTime(s.occurrence)
+	due := j.due(s.occurrence)
+	allowed := j.deadline.Sub(j.Accepted)
+	u := unit{stage: s, rank: r, latestStart: due.Add(allowed - remaining)}
 	switch {
 	case now.Before(u.latestStart):
 		u.lateness = onTime
-	case now.Add(remaining).Before(j.Accepted.Add(worthlessFactor * j.deadline.Sub(j.Accepted))):
+	case now.Add(remaining).Before(due.Add(worthlessFactor * allowed)):
 		u.lateness = late
 	default:
 		u.lateness = worthless
@@ -139,15 +151,24 @@
 	return u
 }
 
-// remainingTime returns the estimated duration of the critical path through the steps that have not completed.
-func (j *job) remainingTime() time.Duration {
+// due returns when an occurrence of the job is due, or when the job was accepted if that is later or it runs once.
+func (j *job) due(occurrence int) time.Time {
+	due := j.FirstDue.Add(time.Duration(occurrence) * j.Interval)
+	if j.Occurrences == 0 || due.Before(j.Accepted) {
+		return j.Accepted
+	}
+	return due
+}
+
+// remainingTime returns the estimated duration of the critical path through the steps of the occurrence that have not completed.
+func (j *job) remainingTime(occurrence int) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, step := range j.Steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if s := j.stageByKey[[2]int{j.created - 1, i}]; s == nil || s.unfinished > 0 {
+		if s := j.stageByKey[[2]int{occurrence, i}]; s == nil || s.unfinished > 0 {
 			ends[i] += step.Estimate
 		}
 		longest = max(longest, ends[i])
--- a/arranger/reserve.go
+++ b/arranger/reserve.go
@@ -33,7 +33,7 @@
 // waiting gangs that precede them.
 func (ps *pass) exceedsReserve(u unit, tasks []*task) bool {
 	need := len(tasks) * u.stage.step.Need.Accelerators
-	if u.rank <= rankUrgent || need == 0 || !ps.fleetIsBusy() {
+	if u.rank <= rankUrgent || need == 0 || !ps.fleetIsBusy() || ps.mayUseReserve(u) {
 		return false
 	}
 	reserved := ps.reserve
@@ -98,6 +98,11 @@
 	}
 }
 
+// mayUseReserve reports whether the unit may use all that is kept free: long-running tasks have to run again soon after they have ended.
+func (ps *pass) mayUseReserve(u unit) bool {
+	return u.stage.step.LongRunning && u.stage.hasWaited(ps.now, longRunningWait)
+}
+
 // isNearDeadline reports whether the unit has to start soon to meet its deadline.
 func (ps *pass) isNearDeadline(u unit) bool {
 	return u.lateness == onTime && u.latestStart.Sub(ps.now) < nearDeadline
