arranger: Readmit workers in quarantine that a unit cannot do without

Cause: quarantine leaves 60% of a service's workers in use, whoever may run on them, and doubles with each repetition, since tasks that last never end as done.

Change: before a pass, workers are readmitted, longest in quarantine first, for units that the others could not run if they were empty: for tasks that last after 1 s of quarantine, for others, whose attempts count, after 4 s.

Tests: the four cases of TestWorkersInQuarantineAreReadmittedForUnitsThatNoOthersMayRun failed on.

--- a/arranger/lasting_test.go
+++ b/arranger/lasting_test.go
@@ -73,3 +73,62 @@
 		h.endRun(o.Starts[0].Worker, o.Starts[0].Task, o.Starts[0].Run, EndedDone)
 	}
 }
+
+// review/9: two workers that had failed runs stayed in quarantine for seconds after they were sound, though a job's tasks had nowhere else to run.
+func TestWorkersInQuarantineAreReadmittedForUnitsThatNoOthersMayRun(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		step Step
+		// labelled is the number of workers with the label that the step requires, of 24.
+		labelled int
+		// within is the time within which a task has to start once the workers are sound.
+		within time.Duration
+	}{
+		{"tasks that last", lasting(3, 1), 2, 3 * time.Second},
+		{"tasks that last, one worker", lasting(1, 1), 1, 3 * time.Second},
+		{"single tasks", single(3, 1), 2, minQuarantine + time.Second},
+		{"a gang", func() Step { s := gang(16, 1); s.SameRack = false; return s }(), 2, minQuarantine + time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 0, 0)
+			for i := range 24 {
+				label := "a"
+				if i < test.labelled {
+					label = "b"
+				}
+				id := fmt.Sprintf("w%02d", i)
+				h.SetWorker(h.now, Worker{ID: id, Incarnation: 1, Service: "tabulator", Rack: "r1", Labels: []string{label}, Capacity: Resources{CPU: 64000, MemoryMB: 131072, Accelerators: 8}})
+				h.HandleReport(h.now, Report{Worker: id, RequestedAt: h.now})
+			}
+			test.step.Requires = "b"
+			spec := jobOf("job", 1, test.step)
+			spec.Policy.MaxAttempts = 1000
+			h.AddJob(h.now, spec, Progress{}, false)
+			fail := func(o Orders) {
+				h.confirmStarts(o)
+				for _, s := range o.Starts {
+					h.endRun(s.Worker, s.Task, s.Run, EndedFailed)
+				}
+			}
+			starts := 0
+			for end := h.now.Add(20 * time.Second); h.now.Before(end); {
+				o := h.planAfter(100 * time.Millisecond)
+				starts += len(o.Starts)
+				fail(o)
+			}
+			// Each worker is tried once a second at most.
+			if most := 20 * test.labelled * 16; starts > most {
+				t.Errorf("%d starts in 20 s of failures, want at most %d", starts, most)
+			}
+			began := h.now
+			for h.now.Sub(began) < test.within {
+				o := h.planAfter(100 * time.Millisecond)
+				h.confirmStarts(o)
+				if len(o.Starts) > 0 {
+					return
+				}
+			}
+			t.Errorf("nothing is started on sound workers for %s", test.within)
+		})
+	}
+}
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -75,6 +75,7 @@
 		a.logWaits(now, ranks, nil)
 		return
 	}
+	a.readmitFor(now, units)
 	ps := a.newPass(now, ranks)
 	for _, u := range units {
 		ps.place(u)
--- a/arranger/quarantine.go
+++ b/arranger/quarantine.go
@@ -10,6 +10,10 @@
 // them have a common cause, such as a pause of a host or of the network, that other workers share.
 const maxQuarantinePercent = 40
 
+// readmitLongRunning is how long a worker is excluded before it is readmitted for long-running tasks that too few others may run. Others use up attempts, and
+// wait for minQuarantine.
+const readmitLongRunning = time.Second
+
 // quarantineCount counts the workers of a service that answer and are not draining.
 type quarantineCount struct {
 	workers, readmitted int
@@ -83,3 +87,59 @@
 	}
 	return counts
 }
+
+// readmitFor readmits workers, those that have been in quarantine longest first, for units that the other workers could not run if they were empty.
+// A label, a need or advice may leave a unit few workers, all of which quarantine excludes while it stays within its limit for the service.
+func (a *Arranger) readmitFor(now time.Time, units []unit) {
+	var excluded []*worker
+	for _, w := range a.sortedWorkers {
+		if w.hasReported && w.reachable && !w.Draining && !w.health.usable(now) && now.Sub(w.health.quarantinedAt) >= readmitLongRunning {
+			excluded = append(excluded, w)
+		}
+	}
+	if len(excluded) == 0 {
+		return
+	}
+	slices.SortStableFunc(excluded, func(x, y *worker) int { return x.health.quarantinedAt.Compare(y.health.quarantinedAt) })
+	for _, u := range units {
+		s := u.stage
+		missing, rest := s.placesNeeded(), minQuarantine
+		if s.step.LongRunning {
+			rest = readmitLongRunning
+		}
+		for _, w := range a.sortedWorkers {
+			if missing <= 0 {
+				break
+			}
+			if w.schedulable(now) {
+				missing -= s.roomIfEmpty(w)
+			}
+		}
+		for _, w := range excluded {
+			if missing <= 0 {
+				break
+			}
+			if room := s.roomIfEmpty(w); room > 0 && !w.health.usable(now) && now.Sub(w.health.quarantinedAt) >= rest {
+				missing -= room
+				w.health.readmitted = true
+				a.options.Log("worker readmitted from quarantine, since too few others may run a unit", "worker", w.ID, "step", s.stepName(),
+					"rested", now.Sub(w.health.quarantinedAt).String())
+			}
+		}
+	}
+}
+
+// placesNeeded returns for how many tasks of a waiting stage there has to be a worker: all waiting ones if they start together or run for good, else
+// one after the other.
+func (s *stage) placesNeeded() int {
+	if !s.step.Gang && !s.step.LongRunning {
+		return 1
+	}
+	waiting := 0
+	for _, t := range s.tasks {
+		if !t.done && t.place == nil {
+			waiting++
+		}
+	}
+	return waiting
+}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -354,11 +354,7 @@
 	perRack := map[string]int{}
 	var e emptyCapacity
 	for _, w := range ps.arranger.sortedWorkers {
-		if w.Service == key.service && w.has(key.requires) && !w.Draining && !of.forbidden(w) {
-			tasksThatFit := w.Capacity.FitCount(key.need)
-			if key.maxPerWorker > 0 {
-				tasksThatFit = min(tasksThatFit, key.maxPerWorker)
-			}
+		if tasksThatFit := of.roomIfEmpty(w); tasksThatFit > 0 && !w.Draining {
 			e.all += tasksThatFit
 			if w.candidate != nil || ps.arranger.awaits(w) {
 				perRack[w.Rack] += tasksThatFit
@@ -370,6 +366,18 @@
 	return e
 }
 
+// roomIfEmpty returns how many tasks of the stage the worker could run if it were empty.
+func (s *stage) roomIfEmpty(w *worker) int {
+	if w.Service != s.job.Policy.Service || !w.has(s.step.Requires) || s.forbidden(w) {
+		return 0
+	}
+	count := w.Capacity.FitCount(s.step.Need)
+	if s.step.MaxPerWorker > 0 {
+		count = min(count, s.step.MaxPerWorker)
+	}
+	return count
+}
+
 // awaits reports whether the worker has yet to report to a new owner, which learns within seconds what it can do.
 func (a *Arranger) awaits(w *worker) bool {
 	_, awaited := a.awaitedReports[w.ID]
