director: Give up a worker that does not answer when its lease ends

Cause: the poll under way is given up after 2.1 s, the retry grants another lease of 9 s (9.6 s with the slow clock and transmission), and its end is noticed when a further poll fails. Ruled out: the wait for the store (no change of the owner) and room (7 of 8 workers idle).

Change: no lease is granted between a failed poll and the next answer; the worker is given up when its leases have expired; leases are 8 s long while the owner renews its own lease in time, and end up to 9 s after its last renewal otherwise, as before.

Tests: TestALongRunningTaskRunsAgainSoonAfterItsWorkerIsLost, 12 phases, all failed on. Changed: TestLeasesOfWorkersEndWithTheLastRenewal wanted 9 s right after a renewal and now has both lengths and the step between them; TestATaskThatMayRunOnASilentWorkerIsNotStartedElsewhere counted on a lease of 9 s: it lets the worker answer 6.3 s after the silence instead of 7.5 s, 0.5 s before the earliest end of a lease, as it was 0.3 s before.

Price: a worker that is cut off for over 6.8 s loses its runs, where it was 9 s or more.

--- a/director/session.go
+++ b/director/session.go
@@ -18,7 +18,7 @@
 	recordTimeout = 250 * time.Millisecond
 	// pollRetryDelay is the time between two attempts to poll a worker.
 	pollRetryDelay = 250 * time.Millisecond
-	// maxUnansweredPolls is the number of successive failed polls after which the worker's lease is no longer renewed, so that it is certain to expire.
+	// maxUnansweredPolls is the number of successive failed polls after which the end of the worker's leases is recorded.
 	maxUnansweredPolls = 2
 )
 
@@ -161,7 +161,7 @@
 	}
 }
 
-// silent reports whether the worker's lease is no longer renewed.
+// silent reports whether the worker does not answer, so that the end of its leases is to be recorded.
 func (s *session) silent() bool { return s.failures >= maxUnansweredPolls }
 
 // mayGrant reports whether a lease may be granted: not while the store may hold the end of the latest one for the next owner; the caller holds the term's mutex.
@@ -178,13 +178,17 @@
 			continue
 		}
 		requestedAt := time.Now()
-		report, err := s.term.Workers.Poll(ctx, s.worker.ID, s.worker.Address, request)
+		pollCtx, cancel := s.untilExpiry(ctx)
+		report, err := s.term.Workers.Poll(pollCtx, s.worker.ID, s.worker.Address, request)
+		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			s.handleFailure(err)
-			sleeper.Sleep(ctx, pollRetryDelay)
+			sleepCtx, cancel := s.untilExpiry(ctx)
+			sleeper.Sleep(sleepCtx, pollRetryDelay)
+			cancel()
 			continue
 		}
 		if s.handleReport(requestedAt, report) {
@@ -193,6 +197,16 @@
 	}
 }
 
+// untilExpiry returns a context that ends when the leases of a worker that does not answer have expired, so that it is given up then.
+func (s *session) untilExpiry(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	if left := s.leasesExpire - s.term.now(); s.failures > 0 && left > 0 {
+		return context.WithTimeout(ctx, left)
+	}
+	return context.WithCancel(ctx)
+}
+
 // nextPoll returns the next poll request, or false while the owner may not send requests.
 func (s *session) nextPoll() (platform.PollRequest, bool) {
 	if !s.term.maySendRequests() {
@@ -204,7 +218,8 @@
 	if !s.responded {
 		return request, true
 	}
-	if !s.silent() && s.mayGrant() {
+	// A worker that has not answered once gets no longer lease before it answers again, so that it is given up in time.
+	if s.failures == 0 && s.mayGrant() {
 		request.LeaseUntil = s.extendLease()
 	}
 	if s.failures == 0 && s.lastRecorded == s.lastEnded {
--- a/director/term.go
+++ b/director/term.go
@@ -18,6 +18,10 @@
 	// workerLeaseDuration is the length of the leases granted to workers, counted from the owner's last renewal; it is longer than a change of owner
 	// takes after the loss of all VMs.
 	workerLeaseDuration = 9 * time.Second
+	// promptLeaseDuration is the length of the leases while the owner renews its own lease in time, so that a worker is given up sooner. Once its last renewal is
+	// lateRenewalAge old, the owner grants the longest leases, so that work outlasts an outage of the store.
+	promptLeaseDuration = 8 * time.Second
+	lateRenewalAge      = 2 * renewalInterval
 	// clockDriftFactor is the factor by which a worker's clock may run slower than the local one.
 	clockDriftFactor = 1.02
 	// leaseExpiryMargin covers the transmission time of a request to a worker.
@@ -239,7 +243,12 @@
 // grantDuration returns the length of a lease granted now: it ends at most workerLeaseDuration after the last renewal of the owner's own lease, so that the
 // next owner knows when it has expired.
 func (t *term) grantDuration() time.Duration {
-	return min(t.leaseDuration(), workerLeaseDuration-(t.now()-t.writer.renewedAt()))
+	age := t.now() - t.writer.renewedAt()
+	longest := min(t.leaseDuration(), workerLeaseDuration-age)
+	if age < lateRenewalAge {
+		return min(longest, promptLeaseDuration)
+	}
+	return longest
 }
 
 // leaseDuration returns the length of the leases granted to workers, which shorten longer ones.
