director: Record the lease end of a worker at its first failed poll

Cause: the end of a silent worker's leases was recorded after two failed polls, 3.3 s after its last answer or more.

A poll that fails once costs two writes of a row of the list of workers.

--- a/director/session.go
+++ b/director/session.go
@@ -18,8 +18,6 @@
 	recordTimeout = 250 * time.Millisecond
 	// pollRetryDelay is the time between two attempts to poll a worker.
 	pollRetryDelay = 250 * time.Millisecond
-	// maxUnansweredPolls is the number of successive failed polls after which the end of the worker's leases is recorded.
-	maxUnansweredPolls = 2
 )
 
 // session is the owner's connection to one incarnation of a worker.
@@ -161,8 +159,8 @@
 	}
 }
 
-// silent reports whether the worker does not answer, so that the end of its leases is to be recorded.
-func (s *session) silent() bool { return s.failures >= maxUnansweredPolls }
+// silent reports whether the worker has not answered the latest poll, so that its lease is not renewed before it answers.
+func (s *session) silent() bool { return s.failures > 0 }
 
 // mayGrant reports whether a lease may be granted: not while the store may hold the end of the latest one for the next owner; the caller holds the term's mutex.
 func (s *session) mayGrant() bool {
@@ -218,8 +216,7 @@
 	if !s.responded {
 		return request, true
 	}
-	// A worker that has not answered once gets no longer lease before it answers again, so that it is given up in time.
-	if s.failures == 0 && s.mayGrant() {
+	if !s.silent() && s.mayGrant() {
 		request.LeaseUntil = s.extendLease()
 	}
 	if s.failures == 0 && s.lastRecorded == s.lastEnded {
