soak: Add late writes, cancellations, scheduled jobs and limits for each worker

Change: the store executes some writes seconds late, also only those of jobs or of tombstones; half of the jobs whose submission has no known outcome are cancelled at one entry after the other, and must not start any more once that is acknowledged; some jobs run 20 to 119 times; some limit their tasks on one worker, which the check for progress takes into account. Scheduled jobs are left out of that check, as their tasks come due one after the other, and must succeed like all others.

--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -45,6 +45,8 @@
 	Total, Used int
 	// Free maps a number of accelerators to the number of tasks with so many that fit.
 	Free map[int]int
+	// Workers maps it to the number of workers on which at least one such task fits.
+	Workers map[int]int
 }
 
 // StandingJob is a job none of whose unfinished tasks runs.
@@ -62,7 +64,7 @@
 func (f *TaskFleet) Standing(jobs []string) (Usage, []StandingJob) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usage := Usage{Free: map[int]int{}}
+	usage := Usage{Free: map[int]int{}, Workers: map[int]int{}}
 	busy, listed, done := map[string]bool{}, map[string]bool{}, maps.Clone(f.doneTasks)
 	for _, w := range f.workers {
 		w.endDueRuns()
@@ -83,6 +85,7 @@
 		usage.Used += used
 		for n := 1; n <= w.accelerators-used; n++ {
 			usage.Free[n] += (w.accelerators - used) / n
+			usage.Workers[n]++
 		}
 	}
 	failures := map[string]int{}
--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -50,8 +50,8 @@
 	Duration time.Duration
 	// Gang is the number of tasks that only make progress together; 0 means that the tasks are independent.
 	Gang int
-	// Count is the number of tasks; only Standing needs it.
-	Count int
+	// Count is the number of tasks, MaxPerWorker their limit on one worker or 0; only Standing needs them.
+	Count, MaxPerWorker int
 	// RemoteFactor multiplies the duration of a gang on more than one rack; 0 means that racks do not matter.
 	RemoteFactor int
 	// Accelerators is the number of accelerators that each task uses.
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -29,8 +29,10 @@
 	prefix    string
 	outcome   outcome
 	cancelled bool
-	// crashes means that the tasks crash their workers.
-	crashes bool
+	// acknowledged means that the cancellation was acknowledged.
+	acknowledged bool
+	// crashes means that the tasks crash their workers, scheduled that they are due one after the other.
+	crashes, scheduled bool
 }
 
 // randomJob returns a job for the size of the fleet and the number of its tasks.
@@ -63,29 +65,52 @@
 	return job, job.Gang, sameRack
 }
 
+// constrain lets some jobs of a small fleet run many times, and some limit their tasks on one worker; it returns the fields of the job and of its step for that.
+func (s *soak) constrain(job *faker.TaskJob, count int) (jobFields, stepFields string) {
+	if s.large() {
+		return "", ""
+	}
+	switch s.random.IntN(8) {
+	case 0:
+		times := 20 + s.random.IntN(100)
+		*job = faker.TaskJob{Duration: time.Duration(20+s.random.IntN(200)) * time.Millisecond, Accelerators: 1, Count: count * times}
+		return fmt.Sprintf(`,"times":%d,"firstMs":%d,"intervalMs":%d`, times, time.Now().UnixMilli(), 50+s.random.IntN(100)), ""
+	case 1, 2:
+		job.MaxPerWorker = 1 + s.random.IntN(2)
+		return "", fmt.Sprintf(`,"maxPerServer":%d`, job.MaxPerWorker)
+	default:
+		return "", ""
+	}
+}
+
 // submit submits a new job with random settings; on a large fleet the response is awaited in the background.
 func (s *soak) submit() {
 	s.next++
 	id := fmt.Sprintf("%016x", s.next)
 	job, count, sameRack := s.randomJob()
 	job.Count = count
+	jobFields, stepFields := s.constrain(&job, count)
 	s.work += time.Duration(count*job.Accelerators) * job.Duration
 	s.fleet.SetJob(id, job)
 	prefix := fmt.Sprintf("/l%d/", s.random.IntN(queues))
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":1000,"gpu":%d,"estimateMs":%d,"gang":%t,"sameRack":%t}]}`,
-		count, job.Accelerators, job.Duration.Milliseconds(), job.Gang > 0, sameRack)
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"memMb":1000,"gpu":%d,"estimateMs":%d,"gang":%t,"sameRack":%t%s}]%s}`,
+		count, job.Accelerators, job.Duration.Milliseconds(), job.Gang > 0, sameRack, stepFields, jobFields)
 	entries := []*entry{s.randomEntry(), s.randomEntry(), s.randomEntry()}
 	cancelAfter := time.Duration(0)
 	if s.large() && s.chance(20) {
 		cancelAfter = time.Duration(1+s.random.IntN(3000)) * time.Millisecond
 	}
-	crashes := job.CrashAfter > 0
-	s.record(id, submission{prefix: prefix, outcome: unknown, crashes: crashes})
+	sent := submission{prefix: prefix, outcome: unknown, crashes: job.CrashAfter > 0, scheduled: jobFields != ""}
+	s.record(id, sent)
+	cancelUnknown := s.chance(2)
 	send := func() {
-		s.record(id, submission{prefix: prefix, outcome: post(entries, prefix+id, body), crashes: crashes})
+		sent.outcome = post(entries, prefix+id, body)
+		s.record(id, sent)
 		if cancelAfter > 0 {
 			time.Sleep(cancelAfter)
 			s.cancel(id, entries[0])
+		} else if sent.outcome == unknown && cancelUnknown {
+			s.cancel(id, entries...)
 		}
 	}
 	if s.large() {
@@ -95,14 +120,33 @@
 	send()
 }
 
-// cancel cancels the job, whose end is not checked from then on.
-func (s *soak) cancel(id string, e *entry) {
+// cancel cancels the job at one entry after the other until one acknowledges it; the end of the job is not checked from then on.
+func (s *soak) cancel(id string, entries ...*entry) {
 	s.mu.Lock()
 	sent := s.submitted[id]
-	sent.cancelled = true
-	s.submitted[id] = sent
 	s.mu.Unlock()
-	e.call(http.MethodDelete, sent.prefix+id, "")
+	sent.cancelled = true
+	s.record(id, sent)
+	for _, e := range entries {
+		if status, _ := e.call(http.MethodDelete, sent.prefix+id, ""); status == http.StatusOK || status == http.StatusGone {
+			sent.acknowledged = true
+			s.record(id, sent)
+			return
+		}
+	}
+}
+
+// acknowledgedStarts returns the numbers of starts of the jobs whose cancellation was acknowledged.
+func (s *soak) acknowledgedStarts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := map[string]int{}
+	for id, sent := range s.submitted {
+		if sent.acknowledged {
+			starts[id] = s.fleet.Starts(id)
+		}
+	}
+	return starts
 }
 
 func (s *soak) record(id string, sent submission) {
@@ -111,13 +155,13 @@
 	s.submitted[id] = sent
 }
 
-// owed returns the accepted jobs that were not cancelled and whose tasks crash no workers.
+// owed returns the accepted jobs that were not cancelled, whose tasks crash no workers and are all due.
 func (s *soak) owed() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ids []string
 	for id, sent := range s.submitted {
-		if sent.outcome == accepted && !sent.cancelled && !sent.crashes {
+		if sent.outcome == accepted && !sent.cancelled && !sent.crashes && !sent.scheduled {
 			ids = append(ids, id)
 		}
 	}
--- a/soak/progress_test.go
+++ b/soak/progress_test.go
@@ -110,7 +110,7 @@
 		w.last[job.ID] = fmt.Sprintf("%d tasks of %d accelerators, gang of %d, %d starts, %d failed runs; "+
 			"%d of %d accelerators in use, room for %d tasks",
 			job.Count, job.Accelerators, job.Gang, job.Starts, job.Failures,
-			usage.Used, usage.Total, usage.Free[job.Accelerators])
+			usage.Used, usage.Total, roomFor(job.TaskJob, usage))
 	}
 	for id, since := range w.since {
 		if !stands[id] {
@@ -160,7 +160,7 @@
 func couldRun(usage faker.Usage, job faker.StandingJob) bool {
 	const twice = 2
 	return job.Failures < maxAttempts && twice*usage.Used < usage.Total &&
-		usage.Free[job.Accelerators] >= twice*max(1, job.Gang)
+		roomFor(job.TaskJob, usage) >= twice*max(1, job.Gang)
 }
 
 func TestStandingJobIsReportedOnlyWithRoomAndTime(t *testing.T) {
@@ -197,3 +197,11 @@
 		})
 	}
 }
+
+// roomFor returns how many tasks of the job fit.
+func roomFor(job faker.TaskJob, usage faker.Usage) int {
+	if job.MaxPerWorker == 0 {
+		return usage.Free[job.Accelerators]
+	}
+	return min(usage.Free[job.Accelerators], job.MaxPerWorker*usage.Workers[job.Accelerators])
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -150,6 +150,9 @@
 // maxRequestDelay is how long after it was sent a request without an answer is executed at the latest.
 const maxRequestDelay = 12 * time.Second
 
+// maxWriteDelay is how long after it was sent a write without an answer is executed at the latest.
+const maxWriteDelay = 6 * time.Second
+
 // maxQueues is the number of queues beside those of the traffic up to which the configuration grows.
 const maxQueues = 4000
 
@@ -241,7 +244,10 @@
 		if !*storeDown {
 			return
 		}
-		s.store.SetFaults(faker.RowFaults{Silent: s.chance(4), Busy: s.chance(4), LoseReplies: s.random.IntN(4), Delay: time.Duration(s.random.IntN(200)) * time.Millisecond})
+		s.store.SetFaults(faker.RowFaults{
+			Silent: s.chance(4), Busy: s.chance(4), LoseReplies: s.random.IntN(4), Delay: time.Duration(s.random.IntN(200)) * time.Millisecond,
+			LateTransactions: s.random.IntN(3), LateBy: time.Duration(s.random.Int64N(int64(maxWriteDelay))), LateTable: []string{"", "jobs", "tombstones"}[s.random.IntN(3)],
+		})
 	default:
 		s.store.SetFaults(faker.RowFaults{})
 		s.store.Compact()
@@ -333,6 +339,8 @@
 func (s *soak) verify() {
 	s.t.Helper()
 	counts := map[outcome]int{}
+	// Cancellations that were acknowledged last are in force by now.
+	cancelled := s.acknowledgedStarts()
 	for id, sent := range maps.Clone(s.submitted) {
 		counts[sent.outcome]++
 		switch {
@@ -342,8 +350,14 @@
 			s.t.Errorf("job %s was started although all entries refused it", id)
 		}
 	}
+	time.Sleep(maxWriteDelay)
+	for id, starts := range s.acknowledgedStarts() {
+		if before, known := cancelled[id]; known && starts > before {
+			s.t.Errorf("job %s was started after its cancellation was acknowledged", id)
+		}
+	}
 	if violations := s.fleet.Violations(); len(violations) > 0 {
 		s.t.Errorf("violated invariants: %v", violations)
 	}
-	s.t.Logf("accepted %d, unknown %d, refused %d", counts[accepted], counts[unknown], counts[refused])
+	s.t.Logf("accepted %d, unknown %d, refused %d, cancelled %d", counts[accepted], counts[unknown], counts[refused], len(cancelled))
 }
