director: Acknowledge ended runs only to the incarnation that listed them

Cause: a worker that restarts under its ID numbers its ends anew; a poll that carries the number of the earlier incarnation makes the next one forget ends that the owner has not seen. Ruled out: acknowledging before the record (no such line at all), delayed starts (one at a time). Not new: tasks of seconds end later than the restart is known.

Change: a poll acknowledges only what the worker is not known to have forgotten, within 50 ms of an answer and never after a failed poll; otherwise it asks first. The fake workers applied the acknowledgement of a waiting poll again whenever they woke up; they apply it when it arrives.

Conclusion: mended; 50 ms remain.

--- a/director/session.go
+++ b/director/session.go
@@ -16,6 +16,9 @@
 	maxPollWait = 1200 * time.Millisecond
 	// recordTimeout bounds the wait for ended runs to be recorded before the worker is polled again.
 	recordTimeout = 250 * time.Millisecond
+	// maxAcknowledgeAge is the time since the last answer of a worker up to which a poll acknowledges ended runs. The next incarnation numbers its ends anew, so that
+	// it would forget them unseen; in this time it cannot have started, run tasks and ended them.
+	maxAcknowledgeAge = 50 * time.Millisecond
 	// pollRetryDelay is the time between two attempts to poll a worker.
 	pollRetryDelay = 250 * time.Millisecond
 )
@@ -44,6 +47,8 @@
 	leasesExpire time.Duration
 	// lastEnded is the number of the last ended run that the worker has reported, lastRecorded that of the last one in the store.
 	lastEnded, lastRecorded int64
+	// acknowledged is the number of the last one that the worker has forgotten.
+	acknowledged int64
 	// unrecordedEnds are the ended runs after lastRecorded, in the order of their numbers.
 	unrecordedEnds []unrecordedEnd
 	// listed is true while the platform's list of workers contains the worker.
@@ -189,7 +194,7 @@
 			cancel()
 			continue
 		}
-		if s.handleReport(requestedAt, report) {
+		if s.handleReport(requestedAt, request.Acknowledged, report) {
 			s.awaitRecorded(ctx)
 		}
 	}
@@ -212,21 +217,24 @@
 	}
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
-	request := platform.PollRequest{Fence: s.fence, Acknowledged: s.lastRecorded}
-	if !s.responded {
+	request := platform.PollRequest{Fence: s.fence}
+	if !s.responded || s.silent() {
 		return request, true
 	}
-	if !s.silent() && s.mayGrant() {
+	if s.lastRecorded > s.acknowledged && s.term.now()-s.respondedAt <= maxAcknowledgeAge {
+		request.Acknowledged = s.lastRecorded
+	}
+	if s.mayGrant() {
 		request.LeaseUntil = s.extendLease()
 	}
-	if s.failures == 0 && s.lastRecorded == s.lastEnded {
+	if s.lastEnded == max(s.acknowledged, request.Acknowledged) {
 		request.Wait = maxPollWait
 	}
 	return request, true
 }
 
 // handleReport applies a report and returns whether it lists ended runs that are not recorded yet.
-func (s *session) handleReport(requestedAt time.Time, received platform.WorkerReport) bool {
+func (s *session) handleReport(requestedAt time.Time, acknowledged int64, received platform.WorkerReport) bool {
 	t := s.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -254,6 +262,7 @@
 		t.Logger.Info("worker reachable again", "worker", s.worker.ID, "failures", s.failures)
 	}
 	s.workerClock, s.respondedAt, s.responded, s.failures = received.Clock, t.now(), true, 0
+	s.acknowledged = max(s.acknowledged, acknowledged)
 	s.clearLeaseEnd()
 	report := arranger.Report{Worker: s.worker.ID, RequestedAt: requestedAt, EndsOmitted: received.EndsOmitted}
 	for _, r := range received.Running {
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -182,6 +182,8 @@
 			w.fleet.mu.Unlock()
 			return
 		}
+		// Ends are acknowledged when the request arrives, not while it waits.
+		request.AckedUpto = 0
 		if len(w.endedRuns) > 0 || !time.Now().Before(until) {
 			break
 		}
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -21,6 +21,12 @@
 // minCrashes is the number of workers that a task has to crash before its job may be given up.
 const minCrashes = 2
 
+const (
+	// maxCancels is the number of attempts to cancel a job, cancelPause the time between two.
+	maxCancels  = 40
+	cancelPause = 250 * time.Millisecond
+)
+
 // maxAsked is the number of entries that are asked for the state of a job.
 const maxAsked = 3
 
@@ -110,7 +116,7 @@
 			time.Sleep(cancelAfter)
 			s.cancel(id, entries[0])
 		} else if sent.outcome == unknown && cancelUnknown {
-			s.cancel(id, entries...)
+			s.clients.Go(func() { s.cancelUntilAcknowledged(id) })
 		}
 	}
 	if s.large() {
@@ -120,19 +126,29 @@
 	send()
 }
 
-// cancel cancels the job at one entry after the other until one acknowledges it; the end of the job is not checked from then on.
-func (s *soak) cancel(id string, entries ...*entry) {
+// cancel cancels the job, whose end is not checked from then on, and reports whether that was acknowledged.
+func (s *soak) cancel(id string, e *entry) bool {
 	s.mu.Lock()
 	sent := s.submitted[id]
-	s.mu.Unlock()
 	sent.cancelled = true
+	s.submitted[id] = sent
+	s.mu.Unlock()
+	status, _ := e.call(http.MethodDelete, sent.prefix+id, "")
+	if status != http.StatusOK && status != http.StatusGone {
+		return false
+	}
+	sent.acknowledged = true
 	s.record(id, sent)
-	for _, e := range entries {
-		if status, _ := e.call(http.MethodDelete, sent.prefix+id, ""); status == http.StatusOK || status == http.StatusGone {
-			sent.acknowledged = true
-			s.record(id, sent)
+	return true
+}
+
+// cancelUntilAcknowledged cancels the job at one entry after the other.
+func (s *soak) cancelUntilAcknowledged(id string) {
+	for attempt := range maxCancels {
+		if s.cancel(id, s.entries[attempt%len(s.entries)]) {
 			return
 		}
+		time.Sleep(cancelPause)
 	}
 }
 
