director: Withdraw gangs whole if a worker has not answered its latest poll

Cause: since a start to a worker that has not answered its latest poll was refused where it is sent, one by one, so that the other members of its gang could have been sent before.

Change: the check is where starts that waited for their record are looked at again, which withdraws a gang whole. Starts that need not wait are planned under the same lock, on workers that answer.

--- a/director/orders.go
+++ b/director/orders.go
@@ -46,7 +46,7 @@
 // sendStart sends a start request to a worker; the caller holds the term's mutex.
 func (t *term) sendStart(order arranger.StartOrder) {
 	s := t.sessions[order.Worker]
-	if s == nil || !s.responded || s.silent() || !s.mayGrant() {
+	if s == nil || !s.responded || !s.mayGrant() {
 		t.arranger.StartRefused(time.Now(), order.Task, order.Run)
 		return
 	}
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -163,9 +163,12 @@
 	return !slices.ContainsFunc(t.unsent[name.Job], func(start unsentStart) bool { return start.order.Task == name && start.order.Run == run })
 }
 
-// isWanted reports whether the start is still to be sent.
+// isWanted reports whether the start is still to be sent: not to a worker that has not answered its latest poll, either.
 func (t *term) isWanted(order arranger.StartOrder) bool {
 	w, known := t.arranger.Worker(order.Worker)
+	if s := t.sessions[order.Worker]; s != nil && s.silent() {
+		return false
+	}
 	return known && !w.Draining && !t.arranger.Overcommitted(order.Worker) && t.arranger.IsStarting(order.Task, order.Run)
 }
 
