faker: Add availability zones and their evacuation to the fake fleet

Starts in an evacuated zone later than a bound are recorded as violations. A start that a worker itself executes late is not, since the owner cannot take it back.

--- a/faker/taskfleet.go
+++ b/faker/taskfleet.go
@@ -33,6 +33,9 @@
 	crashes, startsAfter map[string]int
 	// lostUnder are the incarnations of workers that ended while they ran the task.
 	lostUnder map[string]int
+	// evacuated maps the evacuated zones to the time from which on no task may start there, startsIn the zones to the starts there.
+	evacuated map[string]time.Time
+	startsIn  map[string]int
 	// running are the workers on which each task runs, gangs the runs with the same job and number.
 	running map[string]map[*TaskWorker]bool
 	gangs   map[gangRun]map[*taskRun]*TaskWorker
@@ -69,6 +72,7 @@
 	return &TaskFleet{
 		workers: map[string]*TaskWorker{}, jobs: map[string]TaskJob{}, done: map[string]bool{}, doneTasks: map[string]int{}, started: map[string]time.Time{},
 		starts: map[string]int{}, failed: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}, lostUnder: map[string]int{}, running: map[string]map[*TaskWorker]bool{}, gangs: map[gangRun]map[*taskRun]*TaskWorker{},
+		evacuated: map[string]time.Time{}, startsIn: map[string]int{},
 	}
 }
 
@@ -129,6 +133,7 @@
 	ID           string
 	accelerators int
 	rack         string
+	zone         string
 
 	// The fleet's lock guards the fields below.
 	startedAt   time.Time
@@ -169,7 +174,7 @@
 
 // Add adds a worker to the fleet and returns it.
 func (f *TaskFleet) Add(id string, accelerators int) *TaskWorker {
-	w := &TaskWorker{fleet: f, ID: id, accelerators: accelerators}
+	w := &TaskWorker{fleet: f, ID: id, accelerators: accelerators, zone: "zone-a"}
 	w.Restart()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -231,7 +236,7 @@
 	defer w.fleet.mu.Unlock()
 	w.rack = rack
 	return map[string]any{
-		"service": service, "addr": address, "zone": "zone-a", "state": "ready", "slots": w.accelerators, "seq": 1,
+		"service": service, "addr": address, "zone": w.zone, "state": "ready", "slots": w.accelerators, "seq": 1,
 		"capacity": map[string]any{"cpu": cpu, "memMb": memory, "gpu": w.accelerators}, "labels": []string{"a", rack}, "born": w.incarnation,
 	}
 }
@@ -259,6 +264,7 @@
 		return http.StatusConflict, "room"
 	}
 	w.fleet.checkStart(w, request.Task, job)
+	w.fleet.checkZone(w, request)
 	run := &taskRun{name: request.Task, job: job, run: request.Run, startedAt: time.Now()}
 	w.runs[request.Task] = run
 	if w.fleet.running[run.name] == nil {
--- a/faker/taskhttp.go
+++ b/faker/taskhttp.go
@@ -53,6 +53,8 @@
 	AckedUpto  int64  `json:"ackedUpto"`
 	WaitMs     int64  `json:"waitMs"`
 	Ticket     string `json:"ticket"`
+	// heldUp means that the worker executes the request later than it was given it.
+	heldUp bool
 }
 
 // respond writes a response of this incarnation; the caller holds the fleet's lock.
@@ -82,6 +84,7 @@
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
 			w.endDueRuns()
+			request.heldUp = true
 			if !w.settled(request) {
 				w.startTask(unread{}, request)
 			}
