follower: Keep the set of evacuated availability zones

The table op is followed already. A full read replaces the set, unless it shows an earlier state than one that is known: the feed from there repeats what changed in between, and a zone whose row exists would be used until then. Such a read does not renew the age either.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,7 +26,7 @@
 	reportInterval = 2 * time.Second
 )
 
-// Follower holds the newest configuration that this process has read; it never returns to an older version.
+// Follower holds the newest configuration and the newest set of evacuated zones that this process has read; it never returns to an older configuration.
 type Follower struct {
 	Store  *platform.Store
 	Logger *slog.Logger
@@ -34,7 +35,15 @@
 	// Clock returns a monotonic time that includes suspends of the VM; nil means the wall clock.
 	Clock func() time.Duration
 
-	current          atomic.Pointer[Snapshot]
+	current    atomic.Pointer[Snapshot]
+	evacuation atomic.Pointer[Evacuation]
+	// appliedVersion is the highest version of the store of which a page was applied; only Run uses it.
+	appliedVersion int64
+	// hooks are called after each change of the evacuated zones; lastHook numbers them.
+	hooksMu  sync.Mutex
+	hooks    map[int]func()
+	lastHook int
+
 	storeUnavailable atomic.Bool
 	known            atomic.Pointer[knowledge]
 	// reportedAt is the time of the last log line about failed reads, and failures is the number of failed reads since the last successful one.
@@ -50,7 +59,7 @@
 	replaced chan struct{}
 }
 
-// Age returns the time since which the current configuration may have been replaced, or false if no read has succeeded yet.
+// Age returns the time since which the current configuration and the set of evacuated zones may have been replaced, or false if no read has succeeded yet.
 func (f *Follower) Age() (time.Duration, bool) {
 	known := f.known.Load()
 	if known == nil {
@@ -178,8 +187,12 @@
 	if err != nil {
 		return -1, err
 	}
+	outdated := page.Version < f.appliedVersion
 	f.applyRows(page, start)
-	f.recordKnown(start)
+	f.replaceEvacuation(page)
+	if !outdated {
+		f.recordKnown(start)
+	}
 	return page.Version, nil
 }
 
@@ -203,6 +216,7 @@
 		return version, err
 	}
 	f.applyRows(page, start)
+	f.changeEvacuation(page)
 	if len(page.Rows) == 0 && f.now()-start >= wait {
 		// The store found no change during the whole wait.
 		start += wait
