arranger: Place nothing in evacuated zones, and load returned ones gradually

Work was placed in evacuated availability zones, since nothing knew of evacuations. The workers there take no new work and their claims are released at once, while runs go on. Reserve, empty capacity, use of the fleet and quarantine count the zones in service only. Cold workers count as slow; where the service limits their rate of starts, claims count as starts, and the slack is not granted again by a new owner.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -15,6 +15,9 @@
 	StopTime time.Duration
 	// RemoteFactor is the factor by which a task runs longer outside its data rack.
 	RemoteFactor float64
+	// ColdOverage and ColdSlack bound the starts on a cold worker, together with the rate of its service; a ColdOverage below 1 counts as 1.
+	ColdOverage float64
+	ColdSlack   int
 	// Log is called to log a state change or a decision; nil disables logging.
 	Log func(message string, details ...any)
 }
@@ -49,6 +52,13 @@
 	speeds speedRatings
 	// quarantineLimited is the set of services of which more workers failed than quarantine may exclude.
 	quarantineLimited map[string]bool
+	// evacuation are the evacuated zones, unknownZones those of them without a worker.
+	evacuation   Evacuation
+	unknownZones map[string]bool
+	// startsHeld means that no task is started, since the evacuated zones are not known.
+	startsHeld bool
+	// coldStarts describes the services whose workers are slow after their start.
+	coldStarts map[string]ColdStart
 	// changed is set when an event since the last planning pass may allow new placements.
 	changed  bool
 	sequence int
@@ -66,9 +76,8 @@
 	if options.Log == nil {
 		options.Log = func(string, ...any) {}
 	}
-	if options.RemoteFactor < 1 {
-		options.RemoteFactor = 1
-	}
+	options.RemoteFactor = max(1, options.RemoteFactor)
+	options.ColdOverage = max(1, options.ColdOverage)
 	return &Arranger{
 		options:        options,
 		jobs:           map[string]*job{},
--- a/arranger/check.go
+++ b/arranger/check.go
@@ -9,8 +9,8 @@
 // ErrInvariant means that the state of the arranger is inconsistent.
 var ErrInvariant = errors.New("invariant broken")
 
-// Check returns ErrInvariant if a worker is overcommitted, the places of tasks and workers disagree, a task
-// runs before its step is ready, or a gang has runs of different numbers.
+// Check returns ErrInvariant if a worker is overcommitted, a worker of an evacuated zone is claimed, the places of
+// tasks and workers disagree, a task runs before its step is ready, or a gang has runs of different numbers.
 func (a *Arranger) Check() error {
 	for _, w := range a.sortedWorkers {
 		if err := w.check(); err != nil {
@@ -33,6 +33,9 @@
 		if p.worker != w {
 			return fmt.Errorf("%w: place of %s is listed by another worker", ErrInvariant, p.task.name())
 		}
+		if p.state == placeClaimed && w.evacuated {
+			return fmt.Errorf("%w: %s claims worker %s of the evacuated zone %s", ErrInvariant, p.task.name(), w.ID, w.Zone)
+		}
 		if p.state != placeClaimed {
 			inUse = inUse.Add(p.task.stage.step.Need)
 		}
--- a/arranger/crash.go
+++ b/arranger/crash.go
@@ -145,8 +145,9 @@
 	if w == nil {
 		return
 	}
-	successor := &worker{Worker: next, orphans: map[string]Resources{}, joinedAt: now, earlierCrashes: a.crashesOf(now, w)}
+	successor := &worker{Worker: next, orphans: map[string]Resources{}, joinedAt: now, cold: coldState{since: now}, earlierCrashes: a.crashesOf(now, w)}
 	a.workers[next.ID] = successor
+	a.updateZone(successor)
 	a.sortedWorkers[slices.Index(a.sortedWorkers, w)] = successor
 	a.changed = true
 	places := w.places
--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -23,12 +23,14 @@
 	Workers, Schedulable int
 	// The causes, in the order in which they apply.
 
-	NotReported, Unreachable, Draining, OrphanOfUnknownSize, Blocked, Quarantined int
+	NotReported, Unreachable, Draining, Evacuated, OrphanOfUnknownSize, Blocked, Quarantined int
 	// QuarantineEnd is the latest end of a quarantine.
 	QuarantineEnd time.Time
 	// Accelerators are those of all workers, FreeAccelerators neither in use nor claimed, and
 	// SchedulableAccelerators free on workers that take part.
 	Accelerators, FreeAccelerators, SchedulableAccelerators int
+	// Cold is the number of workers on which the number of starts is limited.
+	Cold int
 	// PendingStarts are starts without an outcome, AwaitedReports workers that may run tasks of a previous owner.
 	PendingStarts, AwaitedReports int
 }
@@ -65,6 +67,8 @@
 			e.Unreachable++
 		case w.Draining:
 			e.Draining++
+		case w.evacuated:
+			e.Evacuated++
 		case w.orphanSizeUnknown:
 			e.OrphanOfUnknownSize++
 		case now.Before(w.blockedUntil):
@@ -76,6 +80,9 @@
 			}
 		default:
 			e.Schedulable++
+			if a.startsLeft(now, w) != unlimitedStarts {
+				e.Cold++
+			}
 			e.SchedulableAccelerators += free
 		}
 	}
@@ -90,6 +97,7 @@
 		{e.NotReported, other.NotReported},
 		{e.Unreachable, other.Unreachable},
 		{e.Draining, other.Draining},
+		{e.Evacuated, other.Evacuated},
 		{e.OrphanOfUnknownSize, other.OrphanOfUnknownSize},
 		{e.Blocked, other.Blocked},
 		{e.Quarantined, other.Quarantined},
@@ -111,14 +119,14 @@
 	a.waitLog.summarizedAt, a.waitLog.exclusions = now, e
 	a.options.Log("units wait", "stages", a.waits.Stages, "longest", a.waits.Longest.String(), "reasons", a.waits.ByReason)
 	details := []any{
-		"workers", e.Workers, "schedulable", e.Schedulable, "notReported", e.NotReported, "unreachable", e.Unreachable, "draining", e.Draining,
+		"workers", e.Workers, "schedulable", e.Schedulable, "notReported", e.NotReported, "unreachable", e.Unreachable, "draining", e.Draining, "evacuated", e.Evacuated,
 		"orphanOfUnknownSize", e.OrphanOfUnknownSize, "blocked", e.Blocked, "quarantined", e.Quarantined,
 	}
 	if e.Quarantined > 0 {
 		details = append(details, "quarantineLeft", e.QuarantineEnd.Sub(now).String())
 	}
 	a.options.Log("workers excluded from planning", append(details, "accelerators", e.Accelerators, "free", e.FreeAccelerators,
-		"schedulableFree", e.SchedulableAccelerators, "pendingStarts", e.PendingStarts, "awaitedReports", e.AwaitedReports)...)
+		"schedulableFree", e.SchedulableAccelerators, "cold", e.Cold, "pendingStarts", e.PendingStarts, "awaitedReports", e.AwaitedReports)...)
 }
 
 // pendingStarts returns the number of starts on the worker whose outcome is not known yet.
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -14,19 +14,32 @@
 		w = a.workers[info.ID]
 	}
 	if w == nil {
-		w = &worker{orphans: map[string]Resources{}, joinedAt: now}
+		w = &worker{orphans: map[string]Resources{}, joinedAt: now, cold: coldState{since: now}}
 		a.workers[info.ID] = w
 		index, _ := slices.BinarySearchFunc(a.sortedWorkers, info.ID, func(other *worker, id string) int { return strings.Compare(other.ID, id) })
 		a.sortedWorkers = slices.Insert(a.sortedWorkers, index, w)
 	}
 	a.changed = a.changed || w.Draining != info.Draining || w.Capacity != info.Capacity
+	if !now.Before(w.ColdUntil) && now.Before(info.ColdUntil) {
+		w.cold = coldState{returnedAt: w.cold.returnedAt, since: now}
+	}
+	wasEvacuated := w.evacuated
 	w.Worker = info
+	a.updateZone(w)
+	if w.evacuated && !wasEvacuated {
+		a.releaseEvacuatedClaims()
+	}
 	a.resolveSilentLoss(now, info)
 }
 
 // ExpectReport delays inherited jobs until the worker has reported, or until the given time, when the leases of
 // the tasks that a previous owner may have started there have expired.
-func (a *Arranger) ExpectReport(id string, expiry time.Time) { a.awaitedReports[id] = expiry }
+func (a *Arranger) ExpectReport(id string, expiry time.Time) {
+	a.awaitedReports[id] = expiry
+	if w := a.workers[id]; w != nil {
+		w.cold.inherited = true
+	}
+}
 
 // ExpectsReport reports whether inherited jobs wait for the worker's report.
 func (a *Arranger) ExpectsReport(id string) bool {
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -123,15 +123,19 @@
 	Incarnation int64
 	Service     string
 	Address     string
-	Rack        string
-	Labels      []string
-	Capacity    Resources
+	// Zone is the worker's availability zone.
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity Resources
 	// Draining means that the worker gets no new tasks.
 	Draining bool
 	// Leaving means that the worker has announced that it will shut down.
 	Leaving bool
 	// LeavesAt is the earliest time at which a draining worker shuts down; zero if unknown.
 	LeavesAt time.Time
+	// ColdUntil is when the worker is no longer slow after its start; zero if it is not.
+	ColdUntil time.Time
 }
 
 func (w Worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
@@ -211,9 +215,11 @@
 
 // StartOrder is an order to start a task on a worker.
 type StartOrder struct {
-	Task       TaskName
-	Run        int64
-	Worker     string
+	Task   TaskName
+	Run    int64
+	Worker string
+	// Zone is the availability zone of the worker.
+	Zone       string
 	Payload    string
 	Checkpoint string
 	// Ticket is the advice service's permission for the worker; empty if the queue needs no advice.
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -187,6 +187,9 @@
 	if w.Service != s.job.Policy.Service || !w.has(s.step.Requires) || !w.Capacity.Covers(s.step.Need) {
 		return false
 	}
+	if t.placedOn(cand) >= cand.startsLeft {
+		return false
+	}
 	if s.step.MaxPerWorker > 0 {
 		if own := cand.count(s); own+t.placedOn(cand) >= s.step.MaxPerWorker {
 			t.pass.specific = t.pass.specific || own > 0
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -71,7 +71,7 @@
 	ranks := a.ranks()
 	units := a.units(now, ranks)
 	a.learnUnknownWorkers()
-	if len(units) == 0 {
+	if len(units) == 0 || a.startsHeld {
 		a.logWaits(now, ranks, nil)
 		return
 	}
@@ -283,9 +283,12 @@
 	return true
 }
 
-// canStart reports whether the workers of the group are schedulable, have enough free capacity for its places
+// canStart reports whether starts are allowed and the workers of the group are schedulable, have enough free capacity for its places
 // and may run them.
 func (a *Arranger) canStart(now time.Time, group []*place) bool {
+	if a.startsHeld {
+		return false
+	}
 	needs := map[*worker]Resources{}
 	for _, p := range group {
 		needs[p.worker] = needs[p.worker].Add(p.task.stage.step.Need)
@@ -315,10 +318,11 @@
 		p.task.lastRun = run
 		p.state = placeStarting
 		p.placedAt = now
+		p.worker.cold.starts++
 		p.task.trial = nil
 		ticket, _ := p.task.stage.ticketFor(p.worker, now)
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
-			Task: p.task.name(), Run: run, Worker: p.worker.ID, Speed: p.worker.speed(), Ticket: ticket,
+			Task: p.task.name(), Run: run, Worker: p.worker.ID, Zone: p.worker.Zone, Speed: p.worker.speed(), Ticket: ticket,
 			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Reason: reason,
 		})
 	}
--- a/arranger/quarantine.go
+++ b/arranger/quarantine.go
@@ -68,7 +68,7 @@
 		counts[service] = &quarantineCount{}
 	}
 	for _, w := range a.sortedWorkers {
-		if !w.hasReported || !w.reachable || w.Draining {
+		if !w.hasReported || !w.reachable || w.Draining || w.evacuated {
 			continue
 		}
 		c := counts[w.Service]
@@ -93,7 +93,7 @@
 func (a *Arranger) readmitFor(now time.Time, units []unit) {
 	var excluded []*worker
 	for _, w := range a.sortedWorkers {
-		if w.hasReported && w.reachable && !w.Draining && !w.health.usable(now) && now.Sub(w.health.quarantinedAt) >= readmitLongRunning {
+		if w.hasReported && w.reachable && !w.Draining && !w.evacuated && !w.health.usable(now) && now.Sub(w.health.quarantinedAt) >= readmitLongRunning {
 			excluded = append(excluded, w)
 		}
 	}
--- a/arranger/random_test.go
+++ b/arranger/random_test.go
@@ -26,15 +26,37 @@
 	}
 }
 
+// Evacuations release claims in the middle of preemptions and gangs.
+func TestRandomEventsAndEvacuationsKeepTheInvariantsAndEndAllJobs(t *testing.T) {
+	for seed := range uint64(randomSequences) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			r := &randomTest{harness: newZonedHarness(t, 2, 4), random: rand.New(rand.NewPCG(seed, 8)), evacuates: true} //nolint:gosec // Tests need repeatable numbers.
+			r.SetGuarantees(map[string]int{"unions": 16})
+			r.SetColdStarts(map[string]ColdStart{"tabulator": {Duration: coldTime, StartRate: coldRate}})
+			for range randomSteps {
+				r.step()
+			}
+			r.evacuate(nil)
+			r.drain()
+		})
+	}
+}
+
 // randomTest applies a random sequence of events to an arranger.
 type randomTest struct {
 	*harness
 
 	random *rand.Rand
 	jobs   []string
+	// evacuates means that zones are evacuated and return.
+	evacuates bool
 }
 
 func (r *randomTest) step() {
+	if r.evacuates && r.random.IntN(10) == 0 {
+		zones := []string{"zone-0", "zone-1"}[:r.random.IntN(3)]
+		r.evacuate([]string{"zone-0", "zone-1"}[len(zones):], zones...)
+	}
 	switch n := r.random.IntN(20); {
 	case n < 3:
 		r.submit()
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -424,6 +424,7 @@
 		return p.run == run && (p.state == placeStarting || p.state == placeStopping) && p.task.label() == label
 	})
 	if i >= 0 {
+		w.cold.starts = max(0, w.cold.starts-1)
 		a.release(w.places[i])
 	}
 }
--- a/arranger/reserve.go
+++ b/arranger/reserve.go
@@ -94,7 +94,7 @@
 	expected, known := ps.arranger.urgentUsage.expected(ps.now)
 	ps.reserve = maxReserveShare * float64(ps.accelerators)
 	if known {
-		ps.reserve = min(max(expected-float64(ps.urgentUsed), minReserveShare*float64(ps.accelerators)), ps.reserve)
+		ps.reserve = min(max(expected-float64(ps.urgentUsed-ps.urgentEvacuated), minReserveShare*float64(ps.accelerators)), ps.reserve)
 	}
 }
 
--- a/arranger/room.go
+++ b/arranger/room.go
@@ -1,50 +1,78 @@
 package arranger
 
 // room counts the tasks of a stage for which there is capacity: usable, and on workers that do not count because
-// the stage has no ticket for them, its tasks avoid them, or the planning pass leaves them out.
-type room struct{ usable, withoutTicket, avoided, excluded int }
+// the stage has no ticket for them, its tasks avoid them, too many tasks would start on them while they are cold, the
+// planning pass leaves them out, or their zone is evacuated.
+type room struct{ usable, withoutTicket, avoided, cold, excluded, evacuated int }
+
+// upTo returns the room in total on the workers that do not count for the given reason or one before it.
+func (r room) upTo(reason waitReason) int {
+	sum := r.usable
+	for _, part := range []struct {
+		reason waitReason
+		count  int
+	}{{waitAdvice, r.withoutTicket}, {waitAvoided, r.avoided}, {waitCold, r.cold}, {waitExcluded, r.excluded}, {waitEvacuated, r.evacuated}} {
+		sum += part.count
+		if part.reason == reason {
+			break
+		}
+	}
+	return sum
+}
 
 // explainCapacity returns why a unit that found no capacity waits, as of the end of the pass.
 func (ps *pass) explainCapacity(u unit) (waitReason, []any) {
 	key, count := ps.classOf(u)
 	fleet, racks, suitable := ps.roomFor(u)
-	best := room{}
+	bestRack := 0
 	for _, r := range racks {
-		best.usable = max(best.usable, r.usable)
-		best.withoutTicket = max(best.withoutTicket, r.usable+r.withoutTicket)
-		best.avoided = max(best.avoided, r.usable+r.withoutTicket+r.avoided)
-		best.excluded = max(best.excluded, r.usable+r.withoutTicket+r.avoided+r.excluded)
+		bestRack = max(bestRack, r.usable)
+	}
+	// hasRoom reports whether there would be enough room if the workers counted that do not for the reason or one before it.
+	hasRoom := func(reason waitReason) bool {
+		if !key.placement.Gang || !key.placement.SameRack {
+			return fleet.upTo(reason) >= count
+		}
+		for _, r := range racks {
+			if r.upTo(reason) >= count {
+				return true
+			}
+		}
+		return false
 	}
 	usable := fleet.usable
-	withTickets := usable + fleet.withoutTicket
-	withAvoided := withTickets + fleet.avoided
-	withExcluded := withAvoided + fleet.excluded
 	if key.placement.Gang && key.placement.SameRack {
-		usable, withTickets, withAvoided, withExcluded = best.usable, best.withoutTicket, best.avoided, best.excluded
+		usable = bestRack
 	}
 	details := []any{
-		"wanted", count, "suitableWorkers", suitable, "room", fleet.usable, "bestRack", best.usable, "withoutTicket", fleet.withoutTicket,
-		"avoided", fleet.avoided, "excluded", fleet.excluded, "freeAccelerators", ps.free,
+		"wanted", count, "suitableWorkers", suitable, "room", fleet.usable, "bestRack", bestRack, "withoutTicket", fleet.withoutTicket,
+		"avoided", fleet.avoided, "cold", fleet.cold, "excluded", fleet.excluded, "evacuated", fleet.evacuated, "freeAccelerators", ps.free,
 	}
 	if u.stage.wait.block == blockedByClass {
 		details = append(details, "notSearchedFor", ps.now.Sub(u.stage.wait.searchedAt).String())
 	}
 	first := ps.unplaceable[key].stage
 	switch {
+	case ps.fitsOnlyEvacuated(u.stage, count):
+		return waitEvacuated, details
 	case u.stage.step.Gang && ps.emptyCapacity(u.stage).all < count:
 		return waitExceedsFleet, append(details, "roomIfEmpty", ps.emptyCapacity(u.stage).all)
 	case usable >= count && first != nil && first != u.stage:
 		return waitClass, append(details, "first", first.stepName(), "firstReason", string(first.wait.block.reason()))
 	case usable >= count:
 		return waitUnexplained, details
-	case withTickets >= count:
+	case hasRoom(waitAdvice):
 		return waitAdvice, details
-	case withAvoided >= count:
+	case hasRoom(waitAvoided):
 		return waitAvoided, details
-	case withExcluded >= count:
+	case hasRoom(waitCold):
+		return waitCold, details
+	case hasRoom(waitExcluded):
 		return waitExcluded, details
 	case fleet.usable >= count:
 		return waitRack, details
+	case hasRoom(waitEvacuated):
+		return waitEvacuated, details
 	default:
 		return waitCapacity, details
 	}
@@ -74,6 +102,9 @@
 			count = 0
 		}
 		switch {
+		case w.evacuated:
+			fleet.evacuated += count
+			rack.evacuated += count
 		case w.candidate == nil:
 			fleet.excluded += count
 			rack.excluded += count
@@ -84,8 +115,11 @@
 			fleet.avoided += count
 			rack.avoided += count
 		default:
-			fleet.usable += count
-			rack.usable += count
+			allowed := min(count, max(0, w.candidate.startsLeft))
+			fleet.usable += allowed
+			rack.usable += allowed
+			fleet.cold += count - allowed
+			rack.cold += count - allowed
 		}
 	}
 	return fleet, racks, suitable
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -142,6 +142,9 @@
 	places []*place
 	// hasReported means that the worker has reported under the present owner's fence.
 	hasReported bool
+	// evacuated means that no task may start in the worker's availability zone.
+	evacuated bool
+	cold      coldState
 	// joinedAt is when this incarnation became known, lostContactAt when a report last failed to arrive after one that did.
 	joinedAt, lostContactAt time.Time
 	// reachable means that the latest report arrived in time.
@@ -220,5 +223,5 @@
 
 // schedulable reports whether the worker may be given new work.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.hasReported && w.reachable && !w.Draining && !w.orphanSizeUnknown && !now.Before(w.blockedUntil) && w.health.usable(now)
+	return w.hasReported && w.reachable && !w.Draining && !w.evacuated && !w.orphanSizeUnknown && !now.Before(w.blockedUntil) && w.health.usable(now)
 }
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -28,8 +28,10 @@
 type candidate struct {
 	worker *worker
 	rack   *rackCapacity
-	// speed is the worker's rated speed.
+	// speed is the worker's rated speed, or that of a cold one.
 	speed float64
+	// startsLeft is the number of tasks that may still be started on the worker if it is cold.
+	startsLeft int
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
 	// stopped.
 	free, freeAfterStops Resources
@@ -78,13 +80,14 @@
 	rackByName map[string]*rackCapacity
 	// accelerators and free are the total and the free accelerators of all candidates.
 	accelerators, free int
-	// installed is the number of accelerators of all known workers, inUse the number that ordered work uses there,
+	// installed is the number of accelerators of all known workers outside evacuated zones, inUse the number that ordered work uses there,
 	// without claims.
 	installed, inUse int
 	// reserve is the number of accelerators kept free for urgent work, urgentUsed the number that urgent work
-	// uses.
-	reserve    float64
-	urgentUsed int
+	// uses, urgentEvacuated that in evacuated zones.
+	reserve         float64
+	urgentUsed      int
+	urgentEvacuated int
 	// gangReserve is the number of accelerators kept free for waiting gangs that precede the units still to be
 	// placed.
 	gangReserve int
@@ -121,14 +124,20 @@
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
-		ps.urgentUsed += ps.urgentUseOf(w)
+		used := ps.urgentUseOf(w)
+		ps.urgentUsed += used
+		ps.countPendingStarts(w)
+		if w.evacuated {
+			ps.urgentEvacuated += used
+			continue
+		}
 		ps.installed += w.Capacity.Accelerators
 		ps.countOrderedWork(w)
 		if !w.schedulable(now) || avoidsUnanswered && now.Before(w.unanswered.until) {
 			continue
 		}
 		cand := &all[i]
-		*cand = candidate{worker: w, speed: w.speed(), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
+		*cand = candidate{worker: w, speed: a.presentSpeed(now, w), startsLeft: a.startsLeft(now, w), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
 		ps.free += max(0, cand.free.Accelerators)
@@ -166,16 +175,21 @@
 	r.accelerators += cand.worker.Capacity.Accelerators
 }
 
-// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims, and the pending
-// starts.
+// countPendingStarts adds the pending starts on the worker.
+func (ps *pass) countPendingStarts(w *worker) {
+	for _, p := range w.places {
+		if p.state == placeStarting && ps.now.Sub(p.placedAt) < pendingStartTime {
+			ps.pendingStarts++
+		}
+	}
+}
+
+// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims.
 func (ps *pass) countOrderedWork(w *worker) {
 	for _, p := range w.places {
 		if p.state != placeClaimed {
 			ps.inUse += p.task.stage.step.Need.Accelerators
 		}
-		if p.state == placeStarting && ps.now.Sub(p.placedAt) < pendingStartTime {
-			ps.pendingStarts++
-		}
 	}
 	for _, orphan := range w.orphans {
 		ps.inUse += orphan.Accelerators
@@ -354,7 +368,7 @@
 	perRack := map[string]int{}
 	var e emptyCapacity
 	for _, w := range ps.arranger.sortedWorkers {
-		if tasksThatFit := of.roomIfEmpty(w); tasksThatFit > 0 && !w.Draining {
+		if tasksThatFit := of.roomIfEmpty(w); tasksThatFit > 0 && !w.Draining && !w.evacuated {
 			e.all += tasksThatFit
 			if w.candidate != nil || ps.arranger.awaits(w) {
 				perRack[w.Rack] += tasksThatFit
@@ -409,6 +423,7 @@
 		cand.free = cand.free.Sub(need)
 		cand.freeAfterStops = cand.freeAfterStops.Sub(need)
 		cand.rack.free -= need.Accelerators
+		cand.startsLeft--
 		cand.victims = nil
 		if t.suspected() {
 			cand.probation = u.stage.job
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -46,6 +46,12 @@
 	waitAvoided waitReason = "workers avoided"
 	// waitExcluded means that there would be room on workers that the planning pass leaves out.
 	waitExcluded waitReason = "workers excluded"
+	// waitCold means that there would be room on workers that are cold, on which only so many tasks may start.
+	waitCold waitReason = "workers cold"
+	// waitEvacuated means that the stage fits only on workers of evacuated zones.
+	waitEvacuated waitReason = "zone evacuated"
+	// waitZones means that no task is started, since it is not known which zones are evacuated.
+	waitZones waitReason = "evacuated zones not known"
 	// waitRack means that there is room in the fleet, but in no single rack.
 	waitRack waitReason = "no rack has room"
 	// waitCapacity means that the fleet has no room.
@@ -236,6 +242,9 @@
 	if s.job.held {
 		return waitRecord
 	}
+	if a.startsHeld && c.starting+c.running+c.stopping == 0 {
+		return waitZones
+	}
 	if c.oldest == nil || !s.step.Gang && s.wait.block != notBlocked && c.waiting > 0 {
 		return s.wait.block.reason()
 	}
