director: Apply evacuations before each plan and each start

The owner applies the set before each plan, plans at once on a change, withdraws starts that were not sent, and checks each attempt to send one. While the set may be outdated by more than evacuateMs plus maxStretchMs it sends none.

--- a/director/fleet.go
+++ b/director/fleet.go
@@ -146,7 +146,7 @@
 // updateWorker opens a session with the worker if necessary and passes its description to the arranger, unless the description is of an earlier incarnation.
 func (t *term) updateWorker(w platform.Worker) {
 	info := arranger.Worker{
-		ID: w.ID, Incarnation: w.Incarnation, Service: w.Service, Address: w.Address, Rack: w.Rack, Labels: w.Labels, Draining: w.Draining, Leaving: w.Draining,
+		ID: w.ID, Incarnation: w.Incarnation, Service: w.Service, Address: w.Address, Zone: w.Zone, Rack: w.Rack, Labels: w.Labels, Draining: w.Draining, Leaving: w.Draining,
 		Capacity: arranger.Resources{CPU: w.CPU, MemoryMB: w.MemoryMB, Accelerators: w.Accelerators},
 	}
 	previous, known := t.arranger.Worker(w.ID)
@@ -156,6 +156,7 @@
 	if w.Draining && w.DrainRemaining > 0 {
 		info.LeavesAt = earliest(previous.LeavesAt, time.Now().Add(w.DrainRemaining))
 	}
+	info.ColdUntil = coldUntil(w, previous, time.Now())
 	// Only the addresses of the workers recorded by a previous owner are known at first.
 	if known && previous.Service != "" && previous.Draining != info.Draining {
 		t.Logger.Info("worker state changed", "worker", w.ID, "draining", w.Draining, "remaining", w.DrainRemaining.String())
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -38,6 +38,7 @@
 type entry struct {
 	name   string
 	accept *acceptor.Acceptor
+	link   *storeLink
 	stop   context.CancelFunc
 	done   chan struct{}
 }
@@ -70,6 +71,7 @@
 		for i := range workers {
 			id := fmt.Sprintf("w%d", i)
 			w := s.fleet.Add(id, 8)
+			w.SetZone(zoneNames[i%len(zoneNames)])
 			s.workers = append(s.workers, w)
 			s.board.Handle(id+":1", w)
 			s.list(i)
@@ -95,17 +97,18 @@
 func (s *service) startEntry(name string) *entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := s.board.Client(name)
-	store := &platform.Store{Client: client, Address: storeAddress, Timeout: 1200 * time.Millisecond}
+	link := &storeLink{next: client.Transport}
+	store := &platform.Store{Client: &http.Client{Transport: link}, Address: storeAddress, Timeout: 1200 * time.Millisecond}
 	log := slog.New(slog.DiscardHandler)
 	config := &follower.Follower{Store: store, Logger: log}
-	e := &entry{name: name, accept: acceptor.New(store, config, log), stop: cancel, done: make(chan struct{})}
+	e := &entry{name: name, accept: acceptor.New(store, config, log), link: link, stop: cancel, done: make(chan struct{})}
 	began := time.Now()
 	d := &director.Director{
 		Node: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
 		Advisor: &platform.Advisor{Client: client, Address: adviceAddress, Timeout: 5 * time.Second},
 		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
-		Bounds: platform.Bounds{MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 3},
+		Bounds: platform.Bounds{MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 3, EvacuationDeadline: evacuationDeadline, ConfigStretch: evacuationStretch},
 	}
 	followed := make(chan struct{})
 	go func() {
--- a/director/orders.go
+++ b/director/orders.go
@@ -74,6 +74,10 @@
 			err = errRenewalOverdue
 			break
 		}
+		if !t.mayStartIn(order.Zone) {
+			err = errZoneEvacuated
+			break
+		}
 		attemptCtx, cancel := attemptContext(ctx, attempt)
 		_, err = t.Workers.Start(attemptCtx, s.worker.ID, s.worker.Address, start)
 		cancel()
--- a/director/planwatch.go
+++ b/director/planwatch.go
@@ -86,6 +86,8 @@
 		{"owner.workers.notReported", int64(e.NotReported)},
 		{"owner.workers.unreachable", int64(e.Unreachable)},
 		{"owner.workers.draining", int64(e.Draining)},
+		{"owner.workers.evacuated", int64(e.Evacuated)},
+		{"owner.workers.cold", int64(e.Cold)},
 		{"owner.workers.orphanOfUnknownSize", int64(e.OrphanOfUnknownSize)},
 		{"owner.workers.blocked", int64(e.Blocked)},
 		{"owner.workers.quarantined", int64(e.Quarantined)},
--- a/director/speeds_test.go
+++ b/director/speeds_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/snipelift/snipelift/arranger"
+	"github.com/snipelift/snipelift/follower"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 )
@@ -15,7 +16,7 @@
 func newFleetTerm(t *testing.T, began time.Time, incarnation int64) *term {
 	t.Helper()
 	now := time.Minute
-	d := &Director{Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Clock: func() time.Duration { return now }}
+	d := &Director{Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Config: &follower.Follower{}, Clock: func() time.Duration { return now }}
 	owner := newTerm(d, registrar.Lease{Epoch: 1}, 1, now)
 	for _, id := range []string{"w1", "w2"} {
 		info := arranger.Worker{ID: id, Incarnation: incarnation, Service: "s", Capacity: arranger.Resources{Accelerators: 8}}
--- a/director/term.go
+++ b/director/term.go
@@ -65,6 +65,10 @@
 	adviceMu sync.Mutex
 	// snapshot is the configuration that was applied last.
 	snapshot *follower.Snapshot
+	// evacuation is the set of evacuated zones that was applied last, nil before the first time.
+	evacuation *follower.Evacuation
+	// startsHeld means that no start is sent, since it is not known which zones are evacuated.
+	startsHeld bool
 	// policies are those of the applied configuration, by queue.
 	policies map[string]arranger.Policy
 	// unsent are the starts that wait for the record of their workers, by job.
@@ -104,6 +108,7 @@
 	}
 	t.arranger = arranger.New(arranger.Options{
 		RunBase: lease.Epoch * runsPerEpoch, WorkersRecorded: lease.WorkersRecorded, StopTime: d.Bounds.StopTime, RemoteFactor: d.Bounds.RemoteFactor,
+		ColdOverage: d.Bounds.ColdOverage, ColdSlack: d.Bounds.ColdSlack,
 		Log: func(message string, details ...any) { d.Logger.Info(message, append(details, "epoch", lease.Epoch)...) },
 	})
 	t.writer.init(version, acquiredAt)
@@ -115,6 +120,8 @@
 	ctx, cancel := context.WithCancel(parent)
 	t.baseCtx, t.cancel = ctx, cancel
 	defer cancel()
+	removeHook := t.Config.OnEvacuation(t.requestPlan)
+	defer removeHook()
 	t.spawn(func() { t.writeLoop(ctx) })
 	versions, ok := t.load(ctx)
 	if ok {
@@ -308,6 +315,7 @@
 		t.policies[q.Name] = acceptor.PolicyOf(q)
 	}
 	t.arranger.SetPolicies(t.policies)
+	t.arranger.SetColdStarts(coldStarts(snapshot))
 }
 
 // planLoop makes a plan and sends its requests whenever one is requested, and every maxPlanInterval.
@@ -317,6 +325,7 @@
 	pause := planBatchDelay
 	watch := planWatch{logger: t.Logger, epoch: t.lease.Epoch}
 	defer t.setGauges(arranger.Waits{}, arranger.Counts{})
+	defer t.setEvacuatedZones(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -334,6 +343,7 @@
 		t.mu.Lock()
 		watch.begin(t.now())
 		t.applyConfig()
+		t.applyEvacuation()
 		t.arranger.Plan(time.Now())
 		t.dispatch(ctx)
 		waits, counts := t.arranger.Waits(), t.arranger.Counts()
--- a/director/unsent.go
+++ b/director/unsent.go
@@ -146,12 +146,16 @@
 	}
 }
 
-// sendWanted sends those starts of a job whose decision still holds: a worker may have been lost or have begun to drain since. A gang is sent whole or not at all.
+// sendWanted sends those starts of a job whose decision still holds: a worker may have been lost or have begun to drain, or its zone may be evacuated since. A gang is sent whole or not at all.
 func (t *term) sendWanted(orders []arranger.StartOrder) {
+	if len(orders) == 0 {
+		return
+	}
+	t.applyEvacuation()
 	unwanted := gangsWithout(orders, t.isWanted)
 	for _, order := range orders {
 		if unwanted[gangOf(order)] || !t.isWanted(order) {
-			t.withdraw(order, "worker drains or has shrunk, or run is stopped")
+			t.withdraw(order, "worker drains, has shrunk or is in an evacuated zone, or run is stopped")
 			continue
 		}
 		t.sendStart(order)
@@ -166,6 +170,9 @@
 // isWanted reports whether the start is still to be sent: not to a worker that has not answered its latest poll, either.
 func (t *term) isWanted(order arranger.StartOrder) bool {
 	w, known := t.arranger.Worker(order.Worker)
+	if t.startsHeld || t.isEvacuated(order) {
+		return false
+	}
 	if s := t.sessions[order.Worker]; s != nil && s.silent() {
 		return false
 	}
