arranger: Skip racks whose cold workers may start nothing

A third of the fleet that is cold and at its limit made each search for room of other work look at all racks. Such workers do not count for the speeds of a pass and the free capacity of a rack.

--- a/arranger/cold.go
+++ b/arranger/cold.go
@@ -56,8 +56,11 @@
 
 // startsLeft returns how many tasks may still be started or claimed on the worker; claimed places count as started.
 func (a *Arranger) startsLeft(now time.Time, w *worker) int {
+	if !a.isCold(now, w) {
+		return unlimitedStarts
+	}
 	rate := a.coldStarts[w.Service].StartRate
-	if rate <= 0 || !a.isCold(now, w) {
+	if rate <= 0 {
 		return unlimitedStarts
 	}
 	used := w.cold.starts
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -55,7 +55,7 @@
 	candidates []*candidate
 	// position is the index of the rack in the order of names.
 	position int
-	// maxFree is an upper bound of the free capacity of any of its workers in each dimension.
+	// maxFree is an upper bound of the free capacity of any of its workers that may start tasks in each dimension.
 	maxFree Resources
 	// free and accelerators are the free and the total accelerators of the rack.
 	free, accelerators int
@@ -65,7 +65,9 @@
 func (r *rackCapacity) updateMaxFree() {
 	r.maxFree = Resources{}
 	for _, cand := range r.candidates {
-		r.maxFree = r.maxFree.Max(cand.free)
+		if cand.startsLeft > 0 {
+			r.maxFree = r.maxFree.Max(cand.free)
+		}
 	}
 }
 
@@ -99,7 +101,7 @@
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangLoss caches the core-seconds lost by stopping a gang.
 	gangLoss map[*stage]float64
-	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
+	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates that may start tasks.
 	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
 	trials int
@@ -141,7 +143,9 @@
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
 		ps.free += max(0, cand.free.Accelerators)
-		ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
+		if cand.startsLeft > 0 {
+			ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
+		}
 		ps.candidates = append(ps.candidates, cand)
 		ps.addToRack(cand)
 	}
@@ -170,7 +174,9 @@
 	}
 	cand.rack = r
 	r.candidates = append(r.candidates, cand)
-	r.maxFree = r.maxFree.Max(cand.free)
+	if cand.startsLeft > 0 {
+		r.maxFree = r.maxFree.Max(cand.free)
+	}
 	r.free += max(0, cand.free.Accelerators)
 	r.accelerators += cand.worker.Capacity.Accelerators
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -14,12 +14,15 @@
 // maxLineBytes limits the length of a log line.
 const maxLineBytes = 1 << 20
 
-// contextMessages are the messages about owners, the store and the configuration, which affect every job.
+// contextMessages are the messages about owners, the store, the configuration and evacuations, which affect every job.
 var contextMessages = map[string]bool{
 	"lease taken": true, "lease lost": true, "lease given up": true, "lease released": true, "state loaded": true,
 	"store does not answer": true, "store answers again": true, "configuration in force": true,
 	"process started": true, "process draining": true, "process stopped": true, "log lines dropped": true,
-	"workers excluded from planning":      true,
+	"workers excluded from planning":            true,
+	"evacuation of an availability zone begins": true, "evacuation of an availability zone ends": true,
+	"evacuation of an unknown availability zone begins": true,
+	"no starts: evacuated zones not known":              true, "starts are sent again: evacuated zones known": true,
 	"no plans: lease not renewed in time": true, "plans are made again: lease renewed": true,
 	"plans are late": true, "plans are on time again": true, "plans are slow": true, "plans are fast again": true,
 }
