--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -80,7 +80,7 @@
 	// racks are sorted by name.
 	racks      []*rackCapacity
 	rackByName map[string]*rackCapacity
-	// accelerators and free are the total and the free accelerators of all candidates.
+	// accelerators and free are the total accelerators of all candidates and the free ones of those that may start tasks.
 	accelerators, free int
 	// installed is the number of accelerators of all known workers outside evacuated zones, inUse the number that ordered work uses there,
 	// without claims.
@@ -142,8 +142,8 @@
 		*cand = candidate{worker: w, speed: a.presentSpeed(now, w), startsLeft: a.startsLeft(now, w), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
-		ps.free += max(0, cand.free.Accelerators)
 		if cand.startsLeft > 0 {
+			ps.free += max(0, cand.free.Accelerators)
 			ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
 		}
 		ps.candidates = append(ps.candidates, cand)
