--- a/faker/taskfaults.go
+++ b/faker/taskfaults.go
@@ -40,7 +40,7 @@
 	w.notify()
 }
 
-// Usage is the use of a fleet's accelerators, not counting silent workers.
+// Usage is the use of a fleet's accelerators, not counting silent workers and those of evacuated zones.
 type Usage struct {
 	Total, Used int
 	// Free maps a number of accelerators to the number of tasks with so many that fit.
@@ -77,7 +77,7 @@
 		for _, run := range w.runs {
 			busy[run.job] = true
 		}
-		if w.silent {
+		if _, evacuated := w.fleet.evacuated[w.zone]; w.silent || evacuated {
 			continue
 		}
 		used := w.acceleratorsInUse()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,13 +18,14 @@
 )
 
 var (
-	soakFirst = flag.Uint64("soak.first", 1, "first seed")
-	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds")
-	soakSteps = flag.Int("soak.steps", 30, "steps of each run; a step takes a quarter of a second on average")
-	soakSize  = flag.Int("soak.entries", 4, "entry processes")
-	workers   = flag.Int("soak.workers", 8, "workers; from 50 on the load and the faults are those of a large site")
-	soakLoad  = flag.Float64("soak.load", 0.6, "work submitted to a large fleet, as a share of its capacity")
-	storeDown = flag.Bool("soak.store", true, "inject faults of the store itself")
+	soakFirst   = flag.Uint64("soak.first", 1, "first seed")
+	soakSeeds   = flag.Int("soak.seeds", 1, "number of seeds")
+	soakSteps   = flag.Int("soak.steps", 30, "steps of each run; a step takes a quarter of a second on average")
+	soakSize    = flag.Int("soak.entries", 4, "entry processes")
+	workers     = flag.Int("soak.workers", 8, "workers; from 50 on the load and the faults are those of a large site")
+	soakLoad    = flag.Float64("soak.load", 0.6, "work submitted to a large fleet, as a share of its capacity")
+	evacuations = flag.Bool("soak.evacuations", true, "evacuate availability zones")
+	storeDown   = flag.Bool("soak.store", true, "inject faults of the store itself")
 )
 
 // failedSeeds are seeds that failed once, each with the cause in a comment; every run repeats them.
@@ -48,9 +49,10 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Logf("rerun: go test ./soak -soak.first=%d -soak.steps=%d -soak.entries=%d -soak.workers=%d "+
-				"-soak.load=%g -soak.store=%t (timing is not fixed by the seed)",
-				seed, *soakSteps, *soakSize, *workers, *soakLoad, *storeDown)
-			s := &soak{cluster: newCluster(t, program, *soakSize), random: rand.New(rand.NewPCG(seed, 11)), submitted: map[string]submission{}} //nolint:gosec // The seed makes the random numbers repeatable.
+				"-soak.load=%g -soak.store=%t -soak.evacuations=%t (timing is not fixed by the seed)",
+				seed, *soakSteps, *soakSize, *workers, *soakLoad, *storeDown, *evacuations)
+			s := &soak{cluster: newCluster(t, program, *soakSize), random: rand.New(rand.NewPCG(seed, 11)), submitted: map[string]submission{}, evacuated: map[string]bool{}} //nolint:gosec // The seed makes the random numbers repeatable.
+			s.zoneRandom = rand.New(rand.NewPCG(seed, 12))                                                                                                                    //nolint:gosec // As above.
 			s.play()
 		})
 	}
@@ -59,9 +61,12 @@
 type soak struct {
 	*cluster
 
-	// random must be used by one goroutine only.
-	random *rand.Rand
-	next   int
+	// random and zoneRandom must be used by one goroutine only.
+	random     *rand.Rand
+	zoneRandom *rand.Rand
+	// evacuated are the zones that are evacuated.
+	evacuated map[string]bool
+	next      int
 	// work is the submitted work, in accelerators times their time, since trafficStart.
 	work         time.Duration
 	trafficStart time.Time
@@ -136,6 +141,7 @@
 
 func (s *soak) step() {
 	s.traffic()
+	s.evacuate()
 	if s.chance(2) {
 		s.fault()
 	}
@@ -318,6 +324,9 @@
 // clearFaults ends all faults and starts all processes that have exited.
 func (s *soak) clearFaults() {
 	s.store.SetFaults(faker.RowFaults{})
+	for zone := range s.evacuated {
+		s.endEvacuation(zone)
+	}
 	for _, proxy := range s.workerProxies {
 		proxy.clearFaults()
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -73,6 +73,7 @@
 	}
 	for i := range *workers {
 		worker := w.fleet.Add(fmt.Sprintf("w%d", i), accelerators)
+		worker.SetZone(zoneOf(i / workersPerRack))
 		address := serve(t, worker)
 		if i < maxProxies {
 			proxy := newProxy(t, address)
@@ -162,7 +163,7 @@
 		"listen":   map[string]any{"front": e.clientAddress, "ready": fmt.Sprintf("%s:%d", ip, port+1)},
 		"platform": map[string]any{"addr": e.storeProxy.address()},
 		"limits":   map[string]any{"cpuShare": 1, "cores": 1},
-		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": remoteFactor, "restoreMs": 100, "reclaimMs": 3000, "configApplyMs": 3000, "maxStretchMs": 5000},
+		"bounds":   map[string]any{"maxHoldMs": 10000, "stopMs": 400, "gangWaitMs": 3000, "graceS": 2, "status_s": 600, "remoteFactor": remoteFactor, "restoreMs": 100, "reclaimMs": 3000, "configApplyMs": 3000, "maxStretchMs": storeStretch.Milliseconds(), "evacuateMs": evacuationDeadline.Milliseconds()},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
