--- a/arranger/random_test.go
+++ b/arranger/random_test.go
@@ -14,13 +14,29 @@
 )
 
 func TestRandomEventsKeepTheInvariantsAndEndAllJobs(t *testing.T) {
+	testRandomEvents(t, func(seed uint64) *randomTest {
+		return &randomTest{harness: newHarness(t, 2, 4), random: rand.New(rand.NewPCG(seed, 7))} //nolint:gosec // Tests need repeatable numbers.
+	})
+}
+
+// Evacuations release claims in the middle of preemptions and gangs, and cold workers end some searches for room.
+func TestRandomEventsAndEvacuationsKeepTheInvariantsAndEndAllJobs(t *testing.T) {
+	testRandomEvents(t, func(seed uint64) *randomTest {
+		return &randomTest{harness: newColdHarness(t, coldRate, 2, 4), random: rand.New(rand.NewPCG(seed, 8)), evacuates: true} //nolint:gosec // As above.
+	})
+}
+
+func testRandomEvents(t *testing.T, newTest func(seed uint64) *randomTest) {
+	t.Helper()
 	for seed := range uint64(randomSequences) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			r := &randomTest{harness: newHarness(t, 2, 4), random: rand.New(rand.NewPCG(seed, 7))} //nolint:gosec // Tests need repeatable numbers.
+			r := newTest(seed)
+			r.t = t
 			r.SetGuarantees(map[string]int{"unions": 16})
 			for range randomSteps {
 				r.step()
 			}
+			r.evacuate(nil)
 			r.drain()
 		})
 	}
@@ -32,9 +48,15 @@
 
 	random *rand.Rand
 	jobs   []string
+	// evacuates means that zones are evacuated and return.
+	evacuates bool
 }
 
 func (r *randomTest) step() {
+	if r.evacuates && r.random.IntN(10) == 0 {
+		zones := []string{"zone-0", "zone-1"}[:r.random.IntN(3)]
+		r.evacuate([]string{"zone-0", "zone-1"}[len(zones):], zones...)
+	}
 	switch n := r.random.IntN(20); {
 	case n < 3:
 		r.submit()
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -28,8 +28,10 @@
 type candidate struct {
 	worker *worker
 	rack   *rackCapacity
-	// speed is the worker's rated speed.
+	// speed is the worker's rated speed, or that of a cold one.
 	speed float64
+	// startsLeft is the number of tasks that may still be started on the worker if it is cold.
+	startsLeft int
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
 	// stopped.
 	free, freeAfterStops Resources
@@ -53,7 +55,7 @@
 	candidates []*candidate
 	// position is the index of the rack in the order of names.
 	position int
-	// maxFree is an upper bound of the free capacity of any of its workers in each dimension.
+	// maxFree is an upper bound of the free capacity of any of its workers that may start tasks in each dimension.
 	maxFree Resources
 	// free and accelerators are the free and the total accelerators of the rack.
 	free, accelerators int
@@ -63,7 +65,9 @@
 func (r *rackCapacity) updateMaxFree() {
 	r.maxFree = Resources{}
 	for _, cand := range r.candidates {
-		r.maxFree = r.maxFree.Max(cand.free)
+		if cand.startsLeft > 0 {
+			r.maxFree = r.maxFree.Max(cand.free)
+		}
 	}
 }
 
@@ -76,15 +80,16 @@
 	// racks are sorted by name.
 	racks      []*rackCapacity
 	rackByName map[string]*rackCapacity
-	// accelerators and free are the total and the free accelerators of all candidates.
+	// accelerators and free are the total accelerators of all candidates and the free ones of those that may start tasks.
 	accelerators, free int
-	// installed is the number of accelerators of all known workers, inUse the number that ordered work uses there,
+	// installed is the number of accelerators of all known workers outside evacuated zones, inUse the number that ordered work uses there,
 	// without claims.
 	installed, inUse int
 	// reserve is the number of accelerators kept free for urgent work, urgentUsed the number that urgent work
-	// uses.
-	reserve    float64
-	urgentUsed int
+	// uses, urgentEvacuated that in evacuated zones.
+	reserve         float64
+	urgentUsed      int
+	urgentEvacuated int
 	// gangReserve is the number of accelerators kept free for waiting gangs that precede the units still to be
 	// placed.
 	gangReserve int
@@ -96,7 +101,7 @@
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangLoss caches the core-seconds lost by stopping a gang.
 	gangLoss map[*stage]float64
-	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
+	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates that may start tasks.
 	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
 	trials int
@@ -121,18 +126,26 @@
 	all := make([]candidate, len(a.sortedWorkers))
 	for i, w := range a.sortedWorkers {
 		w.candidate = nil
-		ps.urgentUsed += ps.urgentUseOf(w)
+		used := ps.urgentUseOf(w)
+		ps.urgentUsed += used
+		ps.countPendingStarts(w)
+		if w.evacuated {
+			ps.urgentEvacuated += used
+			continue
+		}
 		ps.installed += w.Capacity.Accelerators
 		ps.countOrderedWork(w)
 		if !w.schedulable(now) || avoidsUnanswered && now.Before(w.unanswered.until) {
 			continue
 		}
 		cand := &all[i]
-		*cand = candidate{worker: w, speed: w.speed(), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
+		*cand = candidate{worker: w, speed: a.presentSpeed(now, w), startsLeft: a.startsLeft(now, w), free: w.free(), freeAfterStops: w.freeAfterStops(), probation: w.onProbation()}
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
-		ps.free += max(0, cand.free.Accelerators)
-		ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
+		if cand.startsLeft > 0 {
+			ps.free += max(0, cand.free.Accelerators)
+			ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
+		}
 		ps.candidates = append(ps.candidates, cand)
 		ps.addToRack(cand)
 	}
@@ -161,21 +174,28 @@
 	}
 	cand.rack = r
 	r.candidates = append(r.candidates, cand)
-	r.maxFree = r.maxFree.Max(cand.free)
+	if cand.startsLeft > 0 {
+		r.maxFree = r.maxFree.Max(cand.free)
+	}
 	r.free += max(0, cand.free.Accelerators)
 	r.accelerators += cand.worker.Capacity.Accelerators
 }
 
-// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims, and the pending
-// starts.
+// countPendingStarts adds the pending starts on the worker.
+func (ps *pass) countPendingStarts(w *worker) {
+	for _, p := range w.places {
+		if p.state == placeStarting && ps.now.Sub(p.placedAt) < pendingStartTime {
+			ps.pendingStarts++
+		}
+	}
+}
+
+// countOrderedWork adds the accelerators that ordered work uses on the worker, without claims.
 func (ps *pass) countOrderedWork(w *worker) {
 	for _, p := range w.places {
 		if p.state != placeClaimed {
 			ps.inUse += p.task.stage.step.Need.Accelerators
 		}
-		if p.state == placeStarting && ps.now.Sub(p.placedAt) < pendingStartTime {
-			ps.pendingStarts++
-		}
 	}
 	for _, orphan := range w.orphans {
 		ps.inUse += orphan.Accelerators
@@ -354,7 +374,7 @@
 	perRack := map[string]int{}
 	var e emptyCapacity
 	for _, w := range ps.arranger.sortedWorkers {
-		if tasksThatFit := of.roomIfEmpty(w); tasksThatFit > 0 && !w.Draining {
+		if tasksThatFit := of.roomIfEmpty(w); tasksThatFit > 0 && !w.Draining && !w.evacuated {
 			e.all += tasksThatFit
 			if w.candidate != nil || ps.arranger.awaits(w) {
 				perRack[w.Rack] += tasksThatFit
@@ -409,6 +429,7 @@
 		cand.free = cand.free.Sub(need)
 		cand.freeAfterStops = cand.freeAfterStops.Sub(need)
 		cand.rack.free -= need.Accelerators
+		cand.startsLeft--
 		cand.victims = nil
 		if t.suspected() {
 			cand.probation = u.stage.job
