--- a/arranger/evacuation_test.go
+++ b/arranger/evacuation_test.go
@@ -121,18 +121,24 @@
 	}
 }
 
-// With the accelerators of an evacuated zone a busy fleet would look idle, and single tasks would take what is kept free for urgent work.
-func TestUseOfTheFleetIsThatOfTheZonesInService(t *testing.T) {
+// With the accelerators of an evacuated zone a busy fleet would look idle, and single tasks would take what is kept free for urgent work. Urgent work there
+// will need room elsewhere.
+func TestUseAndReserveAreThoseOfTheZonesInService(t *testing.T) {
 	h := newZonedHarness(t, 2, 4)
-	h.AddJob(h.now, jobOf("j", 2, single(4, 8)), Progress{}, false)
-	h.confirmStarts(h.planAfter(0))
+	h.AddJob(h.now, jobOf("j", 0, single(4, 8)), Progress{}, false)
+	o := h.planAfter(0)
+	h.confirmStarts(o)
+	busy, _ := h.Worker(o.Starts[0].Worker)
+	idle := map[string]string{"zone-0": "zone-1", "zone-1": "zone-0"}[busy.Zone]
+	h.now = h.now.Add((usageWindowSeconds + 1) * time.Second)
 	for _, test := range []struct {
 		zone             string
 		installed, inUse int
-	}{{"", 64, 32}, {"zone-1", 32, 32}, {"zone-0", 32, 0}} {
+		reserve          float64
+	}{{"", 64, 32, peakMargin*32 - 32}, {idle, 32, 32, peakMargin*32 - 32}, {busy.Zone, 32, 0, maxReserveShare * 32}} {
 		h.evacuate(nil, test.zone)
-		if ps := h.newPass(h.now, h.ranks()); ps.installed != test.installed || ps.inUse != test.inUse {
-			t.Errorf("%s evacuated: %d of %d accelerators in use", test.zone, ps.inUse, ps.installed)
+		if ps := h.newPass(h.now, h.ranks()); ps.installed != test.installed || ps.inUse != test.inUse || ps.reserve != test.reserve {
+			t.Errorf("%s evacuated: %d of %d accelerators in use, %g reserved", test.zone, ps.inUse, ps.installed, ps.reserve)
 		}
 	}
 	if e := h.exclusions(h.now); e.Evacuated != 4 || e.Schedulable != 4 {
