arranger: Use learned run times in order, preemption and forecasts

Declared run times decided the order of waiting work, its deadline and what becomes of runs on a worker that leaves; in two queues they are off by a typical factor of 1.9. Preemption looked only at the time since the start of a run, so that it stopped runs that would have ended before the stop took effect.

The order and the deadlines now follow the learned run times where these are better, a run's forecast decides on a leaving worker, and runs that end within the time of a stop are awaited by the claim instead of stopped; they are stopped after that time if they have not ended. Each use has a constant of its own.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/snipelift/snipelift/estimator"
 )
 
 // Options configure an Arranger; the zero value is usable.
@@ -45,6 +47,8 @@
 	claims            [][]*place
 	// urgentUsage records the recent use of accelerators by urgent work.
 	urgentUsage usageHistory
+	// runTimes is what was learned of the run times of tasks.
+	runTimes *estimator.Estimator
 	// speeds rates the speed of the workers.
 	speeds speedRatings
 	// quarantineLimited is the set of services of which more workers failed than quarantine may exclude.
@@ -78,6 +82,7 @@
 		awaitedReports: map[string]time.Time{},
 		silentLosses:   map[string]silentLoss{},
 		trials:         map[string][]*task{},
+		runTimes:       estimator.New(),
 
 		inheritedCrashes: map[string]Trial{},
 	}
@@ -117,7 +122,7 @@
 			a.hasUnknownWorkers = true
 		}
 	}
-	j.criticalPath = criticalPathOf(j.Steps)
+	j.criticalPath = criticalPathOf(j.Steps, j.declared)
 	j.deadline = j.Accepted.Add(time.Duration(j.Policy.Stretch*float64(j.criticalPath)) + j.Policy.Objective)
 	a.active = append(a.active, j)
 	a.changed = true
@@ -128,15 +133,15 @@
 	a.finishIfDone(j)
 }
 
-// criticalPathOf returns the estimated duration of the critical path through the steps.
-func criticalPathOf(steps []Step) time.Duration {
+// criticalPathOf returns the duration of the critical path through the steps, given that of each.
+func criticalPathOf(steps []Step, duration func(step int) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(steps))
 	var longest time.Duration
 	for i, s := range steps {
 		for _, before := range s.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += s.Estimate
+		ends[i] += duration(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -218,6 +223,8 @@
 			}
 		}
 	}
+	a.runTimes.Forget(j.ID, len(j.Steps))
+	j.estimates = nil
 	j.stages = nil
 	j.stageByKey = nil
 	j.Steps = nil
--- a/arranger/displace.go
+++ b/arranger/displace.go
@@ -75,11 +75,12 @@
 	return v.rank > t.unit.rank && v.rank > rankGuaranteed && t.mayBecomeUnavailable(p)
 }
 
-// lossOf returns the core-seconds lost by stopping the run and the other members of its gang.
+// lossOf returns the core-seconds lost by stopping the run and the other members of its gang, or by waiting for their ends,
+// weighed against the time that stopping gains.
 func (ps *pass) lossOf(p *place) float64 {
 	gang := p.task.stage
 	if !gang.step.Gang {
-		return ps.lossOfRun(p)
+		return ps.weighRemainder(p, ps.lossOfRun(p))
 	}
 	if lost, ok := ps.gangLoss[gang]; ok {
 		return lost
@@ -90,6 +91,7 @@
 			lost += ps.lossOfRun(member.place)
 		}
 	}
+	lost = ps.weighRemainder(p, lost)
 	ps.gangLoss[gang] = lost
 	return lost
 }
--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -39,6 +39,9 @@
 	StartsRefused, StartsUnknown, StartsTimedOut int64
 	// ClaimsTimedOut counts the claims whose capacity did not become free in time.
 	ClaimsTimedOut int64
+	// RunsAwaited counts the runs that a claim waited for instead of stopping them, RunsOverdue those of them that were
+	// stopped in the end.
+	RunsAwaited, RunsOverdue int64
 	// Quarantines counts the quarantines of workers.
 	Quarantines int64
 	// WorkersRestarted counts the restarts of workers that lost runs.
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -116,6 +116,7 @@
 	if t.done || t.stage.job.state.Final() {
 		return
 	}
+	a.observeInterruption(p)
 	a.options.Log("task requeued", "task", t.label(), "run", p.run, "worker", p.worker.ID, "reason", reason)
 	if t.stage.step.Gang {
 		a.stopGang(t.stage, reason)
--- a/arranger/leave.go
+++ b/arranger/leave.go
@@ -28,7 +28,7 @@
 		// Stopping a gang may release claims on this worker, hence the copy.
 		for _, p := range slices.Clone(w.places) {
 			step := p.task.stage.step
-			if p.state != placeStarting && p.state != placeRunning || p.task.done || !p.expectedEnd().After(w.LeavesAt) && !step.LongRunning {
+			if p.state != placeStarting && p.state != placeRunning || p.task.done || !a.expectedEnd(now, p).After(w.LeavesAt) && !step.LongRunning {
 				continue
 			}
 			a.options.Log("run does not complete before its worker shuts down", "task", p.task.label(), "run", p.run, "worker", w.ID,
@@ -47,13 +47,14 @@
 	a.stop(p, reason)
 }
 
-// expectedEnd returns when the run completes, extrapolated from its progress or, before enough progress, from
-// the step's estimate.
-func (p *place) expectedEnd() time.Time {
-	gained := p.percent - p.firstPercent
-	if p.firstProgressAt.IsZero() || gained < minPaceProgress {
-		return p.placedAt.Add(p.task.stage.step.Estimate)
+// expectedEnd returns when the run completes: with its gang by what was learned, else extrapolated from its own progress or,
+// before enough progress, from the step's estimate.
+func (a *Arranger) expectedEnd(now time.Time, p *place) time.Time {
+	if learnsLeaving {
+		return a.forecastEnd(now, p).expected
 	}
-	pace := p.progressedAt.Sub(p.firstProgressAt) / time.Duration(gained)
-	return p.progressedAt.Add(pace * time.Duration(wholePercent-p.percent))
+	if end, ok := p.endByPace(); ok {
+		return end.expected
+	}
+	return p.placedAt.Add(p.task.stage.step.Estimate)
 }
--- a/arranger/model.go
+++ b/arranger/model.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/snipelift/snipelift/estimator"
 )
 
 // Resources are the resources that a task requests or a worker offers.
@@ -221,8 +223,12 @@
 	// Speed is the rated speed of the worker relative to the average.
 	Speed float64
 	// Gang means that the task works only together with the other tasks of its step.
-	Gang   bool
-	Reason string
+	Gang bool
+	// Estimate is the estimated work of the task; nil if nothing is expected of it. Its run time on the worker is Slowdown
+	// times as long.
+	Estimate *estimator.Estimate
+	Slowdown float64
+	Reason   string
 }
 
 // StopOrder is an order to stop a run on a worker.
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -67,6 +67,7 @@
 	a.stopRunsOnLeavingWorkers(now)
 	a.retryOrders(now)
 	a.startClearedClaims(now)
+	a.stopOverdueRuns(now)
 	a.attributeInheritedCrashes(now)
 	ranks := a.ranks()
 	units := a.units(now, ranks)
@@ -137,9 +138,9 @@
 		}
 		return unit{stage: s, rank: r, lateness: onTime, latestStart: j.Accepted}
 	}
-	remaining := j.remainingTime(s.occurrence)
+	remaining := a.remainingTime(now, j, s.occurrence)
 	due := j.due(s.occurrence)
-	allowed := j.deadline.Sub(j.Accepted)
+	allowed := a.allowedTime(now, j)
 	u := unit{stage: s, rank: r, latestStart: due.Add(allowed - remaining)}
 	switch {
 	case now.Before(u.latestStart):
@@ -162,19 +163,13 @@
 }
 
 // remainingTime returns the estimated duration of the critical path through the steps of the occurrence that have not completed.
-func (j *job) remainingTime(occurrence int) time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i, step := range j.Steps {
-		for _, before := range step.After {
-			ends[i] = max(ends[i], ends[before])
+func (a *Arranger) remainingTime(now time.Time, j *job, occurrence int) time.Duration {
+	return criticalPathOf(j.Steps, func(i int) time.Duration {
+		if s := j.stageByKey[[2]int{occurrence, i}]; s != nil && s.unfinished == 0 {
+			return 0
 		}
-		if s := j.stageByKey[[2]int{occurrence, i}]; s == nil || s.unfinished > 0 {
-			ends[i] += step.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+		return a.plannedTime(now, j, i)
+	})
 }
 
 // compareUnits orders units for placement: guaranteed work first, worthless work last.
@@ -259,7 +254,7 @@
 			}
 		case a.canStart(now, group):
 			a.start(now, group, "claimed capacity is free")
-		case now.Sub(group[0].placedAt) > a.options.StopTime+claimMargin:
+		case now.Sub(group[0].placedAt) > group[0].claimedFor(a.options.StopTime):
 			a.options.Log("claim timed out", "task", group[0].task.label())
 			a.counts.ClaimsTimedOut++
 			group[0].task.stage.wait.failedStarts++
@@ -310,16 +305,19 @@
 		run = max(run, p.task.lastRun)
 	}
 	run++
+	estimate, slowdown := a.forecastOf(now, group[0])
 	for _, p := range group {
 		p.run = run
 		p.task.lastRun = run
 		p.state = placeStarting
 		p.placedAt = now
 		p.task.trial = nil
+		p.resumed = p.task.checkpoint != ""
 		ticket, _ := p.task.stage.ticketFor(p.worker, now)
+		p.estimate = estimate
 		a.orders.Starts = append(a.orders.Starts, StartOrder{
 			Task: p.task.name(), Run: run, Worker: p.worker.ID, Speed: p.worker.speed(), Ticket: ticket,
-			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Reason: reason,
+			Payload: p.task.stage.job.Payload, Checkpoint: p.task.checkpoint, Gang: p.task.stage.step.Gang, Estimate: estimate, Slowdown: slowdown, Reason: reason,
 		})
 	}
 }
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -156,7 +156,7 @@
 func (a *Arranger) recordProgress(now, requestedAt time.Time, p *place, r RunReport) {
 	if p.state == placeStarting {
 		p.state = placeRunning
-		p.confirmedAt = now
+		p.confirmedAt, p.runningSince = now, now
 		a.markStarted(p.task.stage.job)
 	}
 	if r.Checkpoint != "" && r.Checkpoint != p.task.checkpoint {
@@ -266,6 +266,7 @@
 		return
 	}
 	if current {
+		a.observeEnd(now, p)
 		a.release(p)
 	}
 	tasks := []*task{t}
@@ -284,6 +285,7 @@
 	}
 	a.markStarted(j)
 	a.changed = true
+	a.concludeStep(now, t.stage)
 	if t.stage.unfinished == 0 {
 		a.markReadyStages(j, now)
 		a.finishIfDone(j)
@@ -387,7 +389,7 @@
 	}
 	if p.state == placeStarting {
 		p.state = placeRunning
-		p.confirmedAt, p.startedAt = now, now
+		p.confirmedAt, p.startedAt, p.runningSince = now, now, now
 		a.dirty[p.task.stage.job.ID] = true
 	}
 	p.worker.unanswered = unansweredStarts{}
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/snipelift/snipelift/estimator"
 )
 
 // placeState is the state of a placement.
@@ -30,7 +32,17 @@
 	confirmedAt time.Time
 	// startedAt is when the worker confirmed the start; zero for an adopted run.
 	startedAt time.Time
-	percent   int
+	// runningSince is when the start was confirmed or a report first listed the run, zero for an adopted run. resumed means
+	// that the run continues from a checkpoint.
+	runningSince time.Time
+	resumed      bool
+	// estimate is the estimated work at the placement; nil if unknown.
+	estimate *estimator.Estimate
+	// awaitUntil is when the run is stopped if capacity that it uses is still claimed then; zero if no claim waits for it.
+	awaitUntil time.Time
+	// awaits means that the claim waits for such runs.
+	awaits  bool
+	percent int
 	// progressedAt is when the percentage last rose; firstProgressAt is when it first was above zero, at
 	// firstPercent.
 	progressedAt    time.Time
@@ -104,10 +116,12 @@
 	stages []*stage
 	// stageByKey maps an occurrence and a step number to the stage.
 	stageByKey map[[2]int]*stage
-	// deadline is when the job should have completed; criticalPath is the estimated duration of its critical
-	// path.
+	// deadline is when the job should have completed by its declared run times; criticalPath is the declared duration of
+	// its critical path.
 	deadline     time.Time
 	criticalPath time.Duration
+	// estimates is what was learned of its run times; nil before the first use.
+	estimates *jobEstimates
 	// created is the number of occurrences whose stages have been created.
 	created int
 	started bool
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -391,10 +391,16 @@
 	if u.stage == ps.retried {
 		a.options.Log("room found for a unit whose class had none", "job", u.stage.job.ID, "step", u.stage.stepName(), "tasks", len(tasks), "need", u.stage.step.Need)
 	}
+	awaits := false
 	for _, victim := range p.victims {
-		a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
-			"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
-		a.stop(victim, "preempted by "+u.stage.job.ID)
+		if ps.endsSoon(victim) {
+			awaits = true
+			a.await(ps.now, victim, u)
+		} else {
+			a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
+				"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
+			a.stop(victim, "preempted by "+u.stage.job.ID)
+		}
 		if cand := victim.worker.candidate; cand != nil {
 			cand.freeAfterStops = cand.freeAfterStops.Add(victim.task.stage.step.Need)
 		}
@@ -403,7 +409,7 @@
 	for i, t := range tasks {
 		cand := p.candidates[i]
 		need := t.stage.step.Need
-		pl := &place{task: t, worker: cand.worker, state: placeClaimed, placedAt: ps.now}
+		pl := &place{task: t, worker: cand.worker, state: placeClaimed, placedAt: ps.now, awaits: awaits}
 		t.place = pl
 		cand.worker.places = append(cand.worker.places, pl)
 		cand.free = cand.free.Sub(need)
--- a/estimator/estimate.go
+++ b/estimator/estimate.go
@@ -116,7 +116,7 @@
 	p := prediction{value: math.Log(r.step.Declared.Seconds()), err: assumedError, source: SourceDeclared}
 	if q := r.estimator.queues[r.step.Queue]; q != nil {
 		if weight := q.declaredError.weight(now); weight >= minWeight {
-			p.err, p.samples, p.observedAt = errorOf(&q.declaredError, weight), int(weight), q.ratio.updatedAt
+			p.err, p.samples, p.observedAt = errorOf(&q.declaredError, weight), int(math.Round(weight)), q.ratio.updatedAt
 		}
 	}
 	return p, true
@@ -159,7 +159,7 @@
 	if weight <= 0 || !alone && errWeight < minWeight-1 {
 		return prediction{}, false
 	}
-	p := prediction{value: math.Log(s.work.quantile(half)), err: assumedError, source: SourceShape, samples: max(1, int(weight)), observedAt: s.work.updatedAt}
+	p := prediction{value: math.Log(s.work.quantile(half)), err: assumedError, source: SourceShape, samples: max(1, int(math.Round(weight))), observedAt: s.work.updatedAt}
 	if errWeight >= minWeight-1 {
 		p.err = errorOf(&s.err, errWeight)
 	}
@@ -179,7 +179,7 @@
 	}
 	return prediction{
 		value: math.Log(r.step.Declared.Seconds() * q.ratio.quantile(half)), err: errorOf(&q.correctedError, weight), source: SourceCorrected,
-		samples: int(q.ratio.weight(now)), observedAt: q.ratio.updatedAt,
+		samples: int(math.Round(q.ratio.weight(now))), observedAt: q.ratio.updatedAt,
 	}, true
 }
 
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -73,6 +73,8 @@
 	// restored holds the recorded steps whose jobs have not been added yet.
 	restored map[stepKey]*Runs
 	changes  uint64
+	// forecastErrors and declaredErrors are the factors by which the estimates of placed runs and the declared ones were off.
+	forecastErrors, declaredErrors distribution
 }
 
 // New returns an Estimator that knows nothing.
@@ -223,3 +225,23 @@
 	}
 	return y
 }
+
+// ObserveForecast records how far the estimate by which a run was placed, and the declared one, were off; estimates of 0 are
+// left out.
+func (e *Estimator) ObserveForecast(now time.Time, estimated, declared, actual time.Duration) {
+	e.forecastErrors.add(now, factorOff(estimated, actual), 1)
+	e.declaredErrors.add(now, factorOff(declared, actual), 1)
+}
+
+// factorOff returns the factor, 1 or more, by which the estimate is off, or 0 if there is none.
+func factorOff(estimate, actual time.Duration) float64 {
+	if estimate <= 0 || actual <= 0 {
+		return 0
+	}
+	return factor(actual.Seconds() / estimate.Seconds())
+}
+
+// ForecastErrors returns the typical factors by which the estimates of placed runs and the declared ones are off; 0 if unknown.
+func (e *Estimator) ForecastErrors() (estimated, declared float64) {
+	return e.forecastErrors.quantile(errorQuantile), e.declaredErrors.quantile(errorQuantile)
+}
