director: Record learned run times and log the expected end of runs

The next owner would learn the run times anew. The line "start ordered" tells the expected end with its high quantile, source, samples and age, and gauges tell how far estimates were off.

--- a/director/orders.go
+++ b/director/orders.go
@@ -53,8 +53,10 @@
 	start := platform.StartOrder{
 		Task: order.Task.String(), Run: order.Run, Spec: order.Payload, LeaseUntil: s.extendLease(), Fence: s.fence, Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 	}
-	t.Logger.Info("start ordered", "job", order.Task.Job, "task", start.Task, "run", order.Run, "worker", order.Worker,
-		"checkpoint", order.Checkpoint, "speed", order.Speed, "reason", order.Reason, "fence", s.fence, "heardAgo", (t.now() - s.respondedAt).String())
+	t.Logger.Info("start ordered", append([]any{
+		"job", order.Task.Job, "task", start.Task, "run", order.Run, "worker", order.Worker,
+		"checkpoint", order.Checkpoint, "speed", order.Speed, "reason", order.Reason, "fence", s.fence, "heardAgo", (t.now() - s.respondedAt).String(),
+	}, forecastDetails(order)...)...)
 	t.spawn(func() { t.start(s, order, start) })
 }
 
--- a/director/planwatch.go
+++ b/director/planwatch.go
@@ -95,6 +95,8 @@
 		{"owner.starts.unknown", counts.StartsUnknown},
 		{"owner.starts.timedOut", counts.StartsTimedOut},
 		{"owner.claims.timedOut", counts.ClaimsTimedOut},
+		{"owner.runs.awaited", counts.RunsAwaited},
+		{"owner.runs.overdue", counts.RunsOverdue},
 		{"owner.quarantines", counts.Quarantines},
 		{"owner.workers.restarted", counts.WorkersRestarted},
 	} {
--- a/director/rejection.go
+++ b/director/rejection.go
@@ -121,6 +121,9 @@
 	case key == registrar.SpeedsKey:
 		w.speeds, w.speedsWrittenAt = nil, 0
 		t.addSpeeds(b)
+	case key == registrar.RunTimesKey:
+		w.runTimesChanges, w.runTimesWrittenAt = 0, 0
+		t.addRunTimes(b)
 	}
 }
 
--- a/director/term.go
+++ b/director/term.go
@@ -162,6 +162,10 @@
 			speeds = append(speeds, row)
 			continue
 		}
+		if row.Key == registrar.RunTimesKey {
+			t.restoreRunTimes(row)
+			continue
+		}
 		workers, err := registrar.Decode[[]registrar.KnownWorker](row)
 		if err != nil {
 			t.Logger.Error("list of workers unreadable", "key", row.Key, "error", err.Error())
@@ -317,6 +321,7 @@
 	pause := planBatchDelay
 	watch := planWatch{logger: t.Logger, epoch: t.lease.Epoch}
 	defer t.setGauges(arranger.Waits{}, arranger.Counts{})
+	defer t.setForecastGauges(0, 0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -337,8 +342,10 @@
 		t.arranger.Plan(time.Now())
 		t.dispatch(ctx)
 		waits, counts := t.arranger.Waits(), t.arranger.Counts()
+		estimated, declared := t.arranger.RunTimes().ForecastErrors()
 		t.mu.Unlock()
 		t.setGauges(waits, counts)
+		t.setForecastGauges(estimated, declared)
 		if took := watch.end(t.now()); t.ObserveDuration != nil {
 			t.ObserveDuration(planHistogram, took)
 		}
--- a/director/writer.go
+++ b/director/writer.go
@@ -55,6 +55,9 @@
 	// speeds are the speeds of workers as they were written last, speedsWrittenAt the time of the last attempt.
 	speeds          map[string]registrar.WorkerSpeed
 	speedsWrittenAt time.Duration
+	// runTimesChanges is the number of the latest change of the learned run times that was written, runTimesWrittenAt the time of the last attempt.
+	runTimesChanges   uint64
+	runTimesWrittenAt time.Duration
 	// singleRows means that the store rejected a batch, so that its rows are written one at a time to find the invalid one.
 	singleRows bool
 	// rejected are the rows that the store rejected, by key.
@@ -310,6 +313,7 @@
 	t.addRemovals(&b)
 	t.addPending(&b)
 	t.addSpeeds(&b)
+	t.addRunTimes(&b)
 	if b.complete && len(w.rejected) == 0 {
 		w.singleRows = false
 	}
@@ -424,7 +428,7 @@
 
 // isWorkerShard reports whether the row is a shard of the list of known workers.
 func isWorkerShard(row platform.Row) bool {
-	return row.Table == registrar.FleetTable && !registrar.IsPendingKey(row.Key) && row.Key != registrar.SpeedsKey
+	return row.Table == registrar.FleetTable && !registrar.IsPendingKey(row.Key) && row.Key != registrar.SpeedsKey && row.Key != registrar.RunTimesKey
 }
 
 // confirmBatch marks the content of a written batch as recorded.
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -35,6 +35,8 @@
 	PendingKey = "pending"
 	// SpeedsKey is the key of the row with the rated speeds of the workers, as a map of their IDs to WorkerSpeed.
 	SpeedsKey = "speeds"
+	// RunTimesKey is the key of the row with the learned run times of tasks, an estimator.State.
+	RunTimesKey = "runtimes"
 )
 
 const (
@@ -213,8 +215,8 @@
 
 func pendingShardKey(shard int) string { return fmt.Sprintf("%s-%02d", PendingKey, shard) }
 
-// WorkerKeys returns the half-open range [from, to) of the keys of the known workers and of their speeds.
-func WorkerKeys() (from, to string) { return SpeedsKey, workerShardEnd }
+// WorkerKeys returns the half-open range [from, to) of the keys of the known workers, of their speeds and of the learned run times.
+func WorkerKeys() (from, to string) { return RunTimesKey, workerShardEnd }
 
 // Entry is the record that an entry VM periodically writes about itself.
 type Entry struct {
