arranger: Treat overdue runs as long ones when choosing victims

A run that has outlasted its forecast, because it has stalled or is one of the few that take seven times as long, counted as about to end, so that urgent work waited for it before it stopped it. What remains of it now counts as long as it is overdue. On a leaving worker an overdue run still counts as ended, as before.

--- a/arranger/await.go
+++ b/arranger/await.go
@@ -21,7 +21,7 @@
 		return false
 	}
 	if !p.awaitUntil.IsZero() {
-		return true
+		return ps.now.Before(p.awaitUntil)
 	}
 	return !ps.arranger.forecastEnd(ps.now, p).high.After(ps.now.Add(ps.arranger.options.StopTime))
 }
--- a/arranger/await_test.go
+++ b/arranger/await_test.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// TestAStalledRunIsNotAwaited guards against urgent work that waits for a run since it was about to end long ago.
+func TestAStalledRunIsNotAwaited(t *testing.T) {
+	h, _, _ := newAwaitHarness(t)
+	if o := h.planAfter(time.Second); len(o.Stops) != 1 {
+		t.Errorf("got stops %+v, want one at once, since the end is overdue", o.Stops)
+	}
+}
+
 // TestTheVictimIsTheRunWithTimeLeft guards against stopping a run of which little remains for one that would gain more time.
 func TestTheVictimIsTheRunWithTimeLeft(t *testing.T) {
 	h, ending, long := newAwaitHarness(t)
--- a/arranger/leave.go
+++ b/arranger/leave.go
@@ -48,10 +48,10 @@
 }
 
 // expectedEnd returns when the run completes: with its gang by what was learned, else extrapolated from its own progress or,
-// before enough progress, from the step's estimate.
+// before enough progress, from the step's estimate. One whose end has passed has probably ended, and its report is under way.
 func (a *Arranger) expectedEnd(now time.Time, p *place) time.Time {
 	if learnsLeaving {
-		return a.forecastEnd(now, p).expected
+		return a.promisedEnd(now, p).expected
 	}
 	if end, ok := p.endByPace(); ok {
 		return end.expected
--- a/arranger/runtimes.go
+++ b/arranger/runtimes.go
@@ -26,8 +26,9 @@
 )
 
 const (
-	// estimateInterval is the time for which the estimates of a job are kept; a plan may be made every few milliseconds.
-	estimateInterval = 250 * time.Millisecond
+	// estimateInterval is the time for which the estimates of a job are kept, waitingEstimateInterval that for a job of which
+	// nothing has started, so that thousands of them cost little; a plan may be made every few milliseconds.
+	estimateInterval, waitingEstimateInterval = 250 * time.Millisecond, time.Second
 	// minProjectionPercent is the progress in percent from which a run counts as a sample by its projected end; below
 	// it, the rounding to whole percent distorts the projection by more than the runs of a step differ.
 	minProjectionPercent = 10
@@ -59,7 +60,7 @@
 // declared returns the declared run time of a step.
 func (j *job) declared(step int) time.Duration { return j.Steps[step].Estimate }
 
-// estimatesOf returns the estimates of the job, which are updated once per estimateInterval.
+// estimatesOf returns the estimates of the job, which are updated once per interval.
 func (a *Arranger) estimatesOf(now time.Time, j *job) *jobEstimates {
 	e := j.estimates
 	if e == nil {
@@ -72,7 +73,11 @@
 		}
 		j.estimates = e
 	}
-	if !e.at.IsZero() && now.Sub(e.at) < estimateInterval {
+	interval := waitingEstimateInterval
+	if j.started {
+		interval = estimateInterval
+	}
+	if !e.at.IsZero() && now.Sub(e.at) < interval {
 		return e
 	}
 	e.at = now
@@ -239,8 +244,9 @@
 	return runEnd{expected: p.progressedAt.Add(left), high: p.progressedAt.Add(scale(left, 1+paceError+1/float64(gained)) + pace)}, true
 }
 
-// forecastEnd returns when the run ends, with its gang: by its progress or, before that tells, by what was learned of its step.
-func (a *Arranger) forecastEnd(now time.Time, p *place) runEnd {
+// promisedEnd returns when the run ends, with its gang, by its progress or, before that tells, by what was learned of its step;
+// both may have passed.
+func (a *Arranger) promisedEnd(now time.Time, p *place) runEnd {
 	s := p.task.stage
 	end, known := p.endByPace()
 	if s.step.Gang {
@@ -260,12 +266,35 @@
 			since = p.placedAt
 		}
 		end = runEnd{expected: since.Add(scale(e.Median, slowdown)), high: since.Add(scale(e.High, slowdown))}
-		if end.expected.Before(now) {
-			// A run that has outlasted the median is one of the longer ones.
-			end.expected = end.high
+		if e.Source == estimator.SourceNone {
+			// Nothing promises an end within the time of a stop.
+			end.expected = earliest(since, now.Add(-a.options.StopTime))
+			end.high = end.expected
 		}
 	}
-	return runEnd{expected: latest(end.expected, now), high: latest(end.high, now)}
+	return end
+}
+
+// forecastEnd returns when the run ends, with its gang, if it has not ended yet.
+func (a *Arranger) forecastEnd(now time.Time, p *place) runEnd {
+	end := a.promisedEnd(now, p)
+	switch {
+	case end.high.Before(now):
+		// A run that is overdue has stalled or is one of the long ones; it may take as long again.
+		overdue := now.Sub(end.expected)
+		return runEnd{expected: now.Add(overdue), high: now.Add(2 * overdue)}
+	case end.expected.Before(now):
+		return runEnd{expected: end.high, high: end.high}
+	default:
+		return end
+	}
+}
+
+func earliest(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return x
+	}
+	return y
 }
 
 func latest(x, y time.Time) time.Time {
