--- a/arranger/runtimes.go
+++ b/arranger/runtimes.go
@@ -323,7 +323,7 @@
 	e := &a.estimatesOf(now, s.job).steps[s.stepNumber]
 	work := a.workOf(p, now.Sub(since))
 	if p.estimate != nil {
-		a.runTimes.ObserveForecast(now, p.estimate.Median, s.step.Estimate, work)
+		e.runs.ObserveForecast(now, p.estimate.Median, work)
 	}
 	e.runs.Observe(now, estimator.Sample{Work: work}, e.live)
 }
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -126,11 +126,7 @@
 		return
 	}
 	if l := levelOf(r.known(live)); !s.Censored && !l.open && l.seconds > 0 {
-		weight := 1.0
-		if !r.step.Gang {
-			weight /= float64(max(1, r.step.Tasks))
-		}
-		r.estimator.shapeOf(r.shape).within.add(now, s.Work.Seconds()/l.seconds, weight)
+		r.estimator.shapeOf(r.shape).within.add(now, s.Work.Seconds()/l.seconds, r.weight())
 	}
 	if len(r.samples) < maxSamples {
 		r.samples = append(r.samples, s)
@@ -228,9 +224,17 @@
 
 // ObserveForecast records how far the estimate by which a run was placed, and the declared one, were off; estimates of 0 are
 // left out.
-func (e *Estimator) ObserveForecast(now time.Time, estimated, declared, actual time.Duration) {
-	e.forecastErrors.add(now, factorOff(estimated, actual), 1)
-	e.declaredErrors.add(now, factorOff(declared, actual), 1)
+func (r *Runs) ObserveForecast(now time.Time, estimated, actual time.Duration) {
+	r.estimator.forecastErrors.add(now, factorOff(estimated, actual), r.weight())
+	r.estimator.declaredErrors.add(now, factorOff(r.step.Declared, actual), r.weight())
+}
+
+// weight returns the weight of one run, so that a step counts once however many tasks it has.
+func (r *Runs) weight() float64 {
+	if r.step.Gang {
+		return 1
+	}
+	return 1 / float64(max(1, r.step.Tasks))
 }
 
 // factorOff returns the factor, 1 or more, by which the estimate is off, or 0 if there is none.
