arranger: Wait for runs that end soon whatever their rank

Victims were ordered by rank first, so that a run of the lowest priority was stopped although another one was about to end.

--- a/arranger/await.go
+++ b/arranger/await.go
@@ -15,36 +15,30 @@
 	return !p.task.stage.step.LongRunning && !p.task.done && !p.task.stage.job.state.Final()
 }
 
-// endsSoon reports whether the run, with its gang, ends within the time that stopping it may take.
-func (ps *pass) endsSoon(p *place) bool {
+// weighRemainder returns what is lost if the run, with its gang, makes room for other work: the time to wait if it ends within the
+// time that stopping it may take, else the work lost by a stop, divided by the share of the remaining time that the stop gains.
+func (ps *pass) weighRemainder(p *place, lost float64) removal {
 	if !learnsPreemption || !p.ends() {
-		return false
+		return removal{lostWork: lost}
 	}
+	end, stopTime := ps.arranger.forecastEnd(ps.now, p), ps.arranger.options.StopTime
+	endsSoon := !end.high.After(ps.now.Add(stopTime))
 	if !p.awaitUntil.IsZero() {
-		return ps.now.Before(p.awaitUntil)
+		endsSoon = ps.now.Before(p.awaitUntil)
 	}
-	return !ps.arranger.forecastEnd(ps.now, p).high.After(ps.now.Add(ps.arranger.options.StopTime))
-}
-
-// weighRemainder returns the core-seconds lost by making room for other work: the time to wait if the run, with its gang, is
-// waited for, else the work lost by a stop, divided by the share of the remaining time that the stop gains.
-func (ps *pass) weighRemainder(p *place, lost float64) float64 {
-	if !learnsPreemption || !p.ends() {
-		return lost
-	}
-	remaining := ps.arranger.forecastEnd(ps.now, p).expected.Sub(ps.now)
-	if ps.endsSoon(p) {
+	remaining := end.expected.Sub(ps.now)
+	if endsSoon {
 		cores := p.task.stage.step.Need.cores()
 		if p.task.stage.step.Gang {
 			cores *= float64(len(p.task.stage.tasks))
 		}
-		return remaining.Seconds() * cores
+		return removal{lostWork: remaining.Seconds() * cores, endsSoon: true}
 	}
-	gained := remaining - ps.arranger.options.StopTime
+	gained := remaining - stopTime
 	if float64(gained)*maxRemainderFactor <= float64(remaining) {
-		return lost * maxRemainderFactor
+		return removal{lostWork: lost * maxRemainderFactor}
 	}
-	return lost * float64(remaining) / float64(gained)
+	return removal{lostWork: lost * float64(remaining) / float64(gained)}
 }
 
 // await lets a claim wait for the end of the run.
--- a/arranger/displace.go
+++ b/arranger/displace.go
@@ -5,11 +5,20 @@
 	"slices"
 )
 
-// victim is a run that may be preempted, with the work that this loses in core-seconds.
+// victim is a run that may be preempted, with the work that this loses.
 type victim struct {
-	place    *place
-	rank     rank
+	removal
+
+	place *place
+	rank  rank
+}
+
+// removal tells what is lost if a run makes room for other work.
+type removal struct {
+	// lostWork is in core-seconds.
 	lostWork float64
+	// endsSoon means that the run is waited for instead of being stopped.
+	endsSoon bool
 }
 
 // chooseVictims adds the victims to the choice whose preemption makes enough capacity available at the least
@@ -30,12 +39,13 @@
 	}
 	c.victims = withoutUnneeded(c.victims, available, need)
 	for _, p := range c.victims {
-		c.lostWork += t.pass.lossOf(p)
+		c.lostWork += t.pass.removalOf(p).lostWork
 	}
 	return true
 }
 
-// victimsOf returns the candidate's runs in the order of preemption: highest rank first, then least loss.
+// victimsOf returns the candidate's runs in the order of preemption: those that end soon, then highest rank first, then least
+// loss.
 func (ps *pass) victimsOf(cand *candidate) []victim {
 	if cand.victims != nil {
 		return cand.victims
@@ -43,11 +53,11 @@
 	cand.victims = make([]victim, 0, len(cand.worker.places))
 	for _, p := range cand.worker.places {
 		if p.state == placeStarting || p.state == placeRunning {
-			cand.victims = append(cand.victims, victim{place: p, rank: ps.ranks[p.task.stage.job], lostWork: ps.lossOf(p)})
+			cand.victims = append(cand.victims, victim{place: p, rank: ps.ranks[p.task.stage.job], removal: ps.removalOf(p)})
 		}
 	}
 	slices.SortStableFunc(cand.victims, func(x, y victim) int {
-		return cmp.Or(cmp.Compare(y.rank, x.rank), cmp.Compare(x.lostWork, y.lostWork))
+		return cmp.Or(cmp.Compare(boolInt(!x.endsSoon), boolInt(!y.endsSoon)), cmp.Compare(y.rank, x.rank), cmp.Compare(x.lostWork, y.lostWork))
 	})
 	return cand.victims
 }
@@ -75,15 +85,14 @@
 	return v.rank > t.unit.rank && v.rank > rankGuaranteed && t.mayBecomeUnavailable(p)
 }
 
-// lossOf returns the core-seconds lost by stopping the run and the other members of its gang, or by waiting for their ends,
-// weighed against the time that stopping gains.
-func (ps *pass) lossOf(p *place) float64 {
+// removalOf returns what is lost if the run and the other members of its gang make room for other work.
+func (ps *pass) removalOf(p *place) removal {
 	gang := p.task.stage
 	if !gang.step.Gang {
 		return ps.weighRemainder(p, ps.lossOfRun(p))
 	}
-	if lost, ok := ps.gangLoss[gang]; ok {
-		return lost
+	if known, ok := ps.gangRemovals[gang]; ok {
+		return known
 	}
 	lost := 0.0
 	for _, member := range gang.tasks {
@@ -91,9 +100,9 @@
 			lost += ps.lossOfRun(member.place)
 		}
 	}
-	lost = ps.weighRemainder(p, lost)
-	ps.gangLoss[gang] = lost
-	return lost
+	r := ps.weighRemainder(p, lost)
+	ps.gangRemovals[gang] = r
+	return r
 }
 
 // lossOfRun returns the core-seconds lost by stopping the run: the work since its start, unless the step writes
--- a/arranger/runtimes_test.go
+++ b/arranger/runtimes_test.go
@@ -133,3 +133,25 @@
 		t.Errorf("got stops %+v of a run that ends in time", stops)
 	}
 }
+
+// TestAdoptedRunsCountByTheirPace replays a change of owner without recorded run times: when the runs that go on started is not
+// known, but their progress tells their work.
+func TestAdoptedRunsCountByTheirPace(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.RestoreSpeed("w0-0", 0)
+	step := single(10, 1)
+	step.Estimate = 19 * time.Second
+	h.AddJob(h.now, jobOf("job", 2, step), Progress{Workers: []string{"w0-0"}}, true)
+	for _, percent := range []int{20, 40} {
+		h.now = h.now.Add(2 * time.Second)
+		r := Report{Worker: "w0-0", RequestedAt: h.now}
+		for i := range 3 {
+			r.Running = append(r.Running, RunReport{Task: fmt.Sprintf("job.0.0.%d", i), Run: 1, Percent: percent})
+		}
+		h.HandleReport(h.now, r)
+	}
+	o := h.planAfter(time.Second)
+	if len(o.Starts) == 0 || o.Starts[0].Estimate.Median < 9*time.Second || o.Starts[0].Estimate.Median > 12*time.Second {
+		t.Errorf("got starts %+v, want some with about 10 s by the adopted runs, not the declared 19 s", o.Starts)
+	}
+}
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -94,8 +94,8 @@
 	unplaceable map[unitClass]unplaceable
 	// tasksThatFit caches how many tasks the fleet could run if it were empty.
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
-	// gangLoss caches the core-seconds lost by stopping a gang.
-	gangLoss map[*stage]float64
+	// gangRemovals caches what is lost if a gang makes room for other work.
+	gangRemovals map[*stage]removal
 	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
 	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
@@ -112,7 +112,7 @@
 func (a *Arranger) newPass(now time.Time, ranks map[*job]rank) *pass {
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
-		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
+		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangRemovals: map[*stage]removal{},
 		minSpeed: math.Inf(1),
 	}
 	a.speeds.update(now)
@@ -393,7 +393,7 @@
 	}
 	awaits := false
 	for _, victim := range p.victims {
-		if ps.endsSoon(victim) {
+		if ps.removalOf(victim).endsSoon {
 			awaits = true
 			a.await(ps.now, victim, u)
 		} else {
