--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -99,8 +99,8 @@
 	unplaceable map[unitClass]unplaceable
 	// tasksThatFit caches how many tasks the fleet could run if it were empty.
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
-	// gangLoss caches the core-seconds lost by stopping a gang.
-	gangLoss map[*stage]float64
+	// gangRemovals caches what is lost if a gang makes room for other work.
+	gangRemovals map[*stage]removal
 	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates that may start tasks.
 	minSpeed, maxSpeed float64
 	// trials is the number of trials so far.
@@ -117,7 +117,7 @@
 func (a *Arranger) newPass(now time.Time, ranks map[*job]rank) *pass {
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
-		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
+		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangRemovals: map[*stage]removal{},
 		minSpeed: math.Inf(1),
 	}
 	a.speeds.update(now)
@@ -411,10 +411,16 @@
 	if u.stage == ps.retried {
 		a.options.Log("room found for a unit whose class had none", "job", u.stage.job.ID, "step", u.stage.stepName(), "tasks", len(tasks), "need", u.stage.step.Need)
 	}
+	awaits := false
 	for _, victim := range p.victims {
-		a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
-			"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
-		a.stop(victim, "preempted by "+u.stage.job.ID)
+		if ps.removalOf(victim).endsSoon {
+			awaits = true
+			a.await(ps.now, victim, u)
+		} else {
+			a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
+				"worker", victim.worker.ID, "for", u.stage.job.ID, "rank", int(u.rank))
+			a.stop(victim, "preempted by "+u.stage.job.ID)
+		}
 		if cand := victim.worker.candidate; cand != nil {
 			cand.freeAfterStops = cand.freeAfterStops.Add(victim.task.stage.step.Need)
 		}
@@ -423,7 +429,7 @@
 	for i, t := range tasks {
 		cand := p.candidates[i]
 		need := t.stage.step.Need
-		pl := &place{task: t, worker: cand.worker, state: placeClaimed, placedAt: ps.now}
+		pl := &place{task: t, worker: cand.worker, state: placeClaimed, placedAt: ps.now, awaits: awaits}
 		t.place = pl
 		cand.worker.places = append(cand.worker.places, pl)
 		cand.free = cand.free.Sub(need)
