arranger: Rate workers by single runs as well as by gangs

Only the members of gangs were compared, so that on a fleet of 350 workers with three speeds half of them counted as average after 35 s, and urgent gangs ran on them. Steps of single tasks said nothing.

Each run's pace is now compared with that of its siblings and of steps of its queue with the same shape. Workers and groups exchange Gaussian messages, which gives ratings with errors; long runs are outliers, the noise of a shape is taken from pairs of runs on one worker, and the spread of the speeds of a service shrinks ratings to the average where the workers are alike. A worker whose latest runs differ from the earlier ones is rated anew. A gang is placed on workers of one speed, with the cost of its slowest member; unrated workers are tried by single tasks that are not urgent.

TestRatingsFollowFromOverlapping- Gangs marks its stage as a gang, since the solver now tells gangs from single tasks; the speed fleet of the tests accumulates progress, so that a change of speed does not apply to the past.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -69,7 +69,7 @@
 	if options.RemoteFactor < 1 {
 		options.RemoteFactor = 1
 	}
-	return &Arranger{
+	a := &Arranger{
 		options:        options,
 		jobs:           map[string]*job{},
 		workers:        map[string]*worker{},
@@ -81,6 +81,8 @@
 
 		inheritedCrashes: map[string]Trial{},
 	}
+	a.speeds.onChange = a.recordSpeedChange
+	return a
 }
 
 // SetGuarantees sets the number of accelerators guaranteed to the urgent jobs of each organisation.
--- a/arranger/arranger_bench_test.go
+++ b/arranger/arranger_bench_test.go
@@ -122,7 +122,7 @@
 		b.StopTimer()
 		a := loaded(b, workers, -workers*8)
 		for i := range workers {
-			a.RestoreSpeed(fmt.Sprintf("w%03d", i), speeds[i%len(speeds)])
+			a.RestoreSpeed(fmt.Sprintf("w%03d", i), Rating{Steps: speeds[i%len(speeds)], Error: 0.05})
 		}
 		mixedLoad(a, start, waiting)
 		b.StartTimer()
--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -43,13 +43,29 @@
 	Quarantines int64
 	// WorkersRestarted counts the restarts of workers that lost runs.
 	WorkersRestarted int64
+	// SpeedChanges counts the workers whose ratings began anew, since their latest runs differed from the earlier ones.
+	SpeedChanges int64
+	// WorkersRated is the present number of workers whose speed is known, WorkersNotAverage that of those among them
+	// whose speed differs from the average.
+	WorkersRated, WorkersNotAverage int64
 }
 
 // Waits returns the stages that had nothing running at the latest search.
 func (a *Arranger) Waits() Waits { return a.waits }
 
 // Counts returns the numbers of events so far.
-func (a *Arranger) Counts() Counts { return a.counts }
+func (a *Arranger) Counts() Counts {
+	counts := a.counts
+	for _, w := range a.sortedWorkers {
+		if w.rating.rated() {
+			counts.WorkersRated++
+			if w.rating.steps != 0 {
+				counts.WorkersNotAverage++
+			}
+		}
+	}
+	return counts
+}
 
 func (a *Arranger) exclusions(now time.Time) Exclusions {
 	e := Exclusions{Workers: len(a.sortedWorkers), AwaitedReports: len(a.awaitedReports)}
--- a/arranger/fleet.go
+++ b/arranger/fleet.go
@@ -98,6 +98,7 @@
 		return
 	}
 	delete(a.workers, id)
+	w.rating.discard(len(w.rating.observations))
 	a.sortedWorkers = slices.DeleteFunc(a.sortedWorkers, func(other *worker) bool { return other == w })
 	for _, p := range slices.Clone(w.places) {
 		a.releaseAndRequeue(p, reason)
--- a/arranger/pack.go
+++ b/arranger/pack.go
@@ -24,6 +24,8 @@
 	stopped map[*place]bool
 	// preempts means that capacity counts as available if runs on it are being stopped or can be preempted.
 	preempts bool
+	// speeds is the range of speeds that members of a gang are placed on.
+	speeds speedRange
 	packing
 }
 
@@ -35,9 +37,20 @@
 // packAnywhere places the tasks one after another, each on the cheapest candidate of the fleet.
 func (ps *pass) packAnywhere(u unit, tasks []*task, preempt bool) *packing {
 	if preempt {
-		return ps.pack(u, tasks, ps.candidates, true)
+		return ps.pack(u, tasks, ps.candidates, true, speedRange{})
 	}
+	speeds, _ := ps.suitableSpeeds(u, len(tasks), ps.candidates)
+	p := ps.packAcrossRacks(u, tasks, speeds)
+	if p == nil && speeds != (speedRange{}) {
+		p = ps.packAcrossRacks(u, tasks, speedRange{})
+	}
+	return p
+}
+
+// packAcrossRacks is packAnywhere without preemption, on workers of the given speeds.
+func (ps *pass) packAcrossRacks(u unit, tasks []*task, speeds speedRange) *packing {
 	t := ps.newTrial(u, false)
+	t.speeds = speeds
 	for _, task := range tasks {
 		c, ok := t.bestFit(task)
 		if !ok {
@@ -45,7 +58,7 @@
 		}
 		t.add(task, &c)
 	}
-	return &t.packing
+	return t.finish()
 }
 
 // bestFit returns the best candidate with free capacity for the task. It searches the data rack first, then the
@@ -99,9 +112,20 @@
 	version int
 }
 
-// pack places the tasks one after another, each on the cheapest of the given candidates.
-func (ps *pass) pack(u unit, tasks []*task, candidates []*candidate, preempt bool) *packing {
+// pack places the tasks one after another, each on the cheapest of the given candidates; on those of the given speeds if
+// these have room.
+func (ps *pass) pack(u unit, tasks []*task, candidates []*candidate, preempt bool, speeds speedRange) *packing {
+	p := ps.packAt(u, tasks, candidates, preempt, speeds)
+	if p == nil && speeds != (speedRange{}) {
+		p = ps.packAt(u, tasks, candidates, preempt, speedRange{})
+	}
+	return p
+}
+
+// packAt is pack on workers of the given speeds only.
+func (ps *pass) packAt(u unit, tasks []*task, candidates []*candidate, preempt bool, speeds speedRange) *packing {
 	t := ps.newTrial(u, preempt)
+	t.speeds = speeds
 	evaluations := make([]evaluation, len(candidates))
 	for i, cand := range candidates {
 		t.reevaluate(&evaluations[i], u.stage, cand)
@@ -125,7 +149,7 @@
 		chosen := evaluations[best].choice
 		t.add(task, &chosen)
 	}
-	return &t.packing
+	return t.finish()
 }
 
 // isStale reports whether the choice has to be evaluated again, since the trial has used the candidate or has stopped other runs of a step of which
@@ -159,13 +183,16 @@
 
 // evaluate returns the cost of placing a task of the stage on the candidate, or false if that is impossible.
 func (t *trial) evaluate(s *stage, cand *candidate) (choice, bool) {
+	if !t.speeds.contains(cand.speed) {
+		return choice{}, false
+	}
 	available := t.availableOn(cand)
 	fits := available.Covers(s.step.Need)
 	if !fits && !t.preempts || !t.eligible(s, cand) {
 		return choice{}, false
 	}
 	c := choice{candidate: cand, lostWork: t.remoteDataCost(s, cand.worker)}
-	c.misfit = misfit(s, available) + rackPenalty*float64(t.pass.rackPreference(t.unit, cand.rack)) + t.pass.speedMisfit(t.unit, cand)
+	c.misfit = misfit(s, available) + rackPenalty*float64(t.pass.rackPreference(t.unit, cand.rack)) + t.speedMisfit(cand)
 	if cand.worker.health.suspect(t.pass.now) {
 		c.misfit += suspectPenalty
 	}
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -233,6 +233,9 @@
 	case EndedDone:
 		w.health.recordSuccess()
 		t.stage.job.recordDone(w)
+		if current {
+			a.observeEnd(now, p)
+		}
 		a.complete(now, t, p, current)
 	case EndedFailed:
 		a.countFailure(now, w, t, e)
--- a/arranger/speed.go
+++ b/arranger/speed.go
@@ -6,203 +6,382 @@
 	"time"
 )
 
-// Workers differ in speed, and a gang is as slow as its slowest member. The
-// members of a gang have equal work, so their progress shows how fast their
-// workers are relative to each other, however far off the estimate is. The
-// comparisons of overlapping gangs give a rating of all workers. Urgent work
-// goes to the fastest workers and other work to the slowest ones, so that gangs
-// run on workers of similar speed and the fast ones stay free for urgent work.
+// Workers differ in speed, and a gang is as slow as its slowest member. A fleet of hundreds of workers, bursts of
+// urgent gangs and thousands of single tasks of uneven work: the pace of each run, compared with that of its
+// siblings, tells how fast its worker is relative to others, however far off the estimate is. Members of a gang have
+// equal work; single tasks of a step differ in work, and some take several times as long. The model is
+//
+//	log pace = log speed of the worker - log work of the group + noise of the run
+//
+// with the groups' work distributed around that of their shape. Workers and groups exchange Gaussian messages until
+// they agree (belief propagation), which also gives the error of each rating.
 
 const (
-	// paceWindow is the minimum time between the two reports from which the pace of a run is computed.
-	paceWindow = 800 * time.Millisecond
-	// minPaceGain is the progress in percent below which its rounding to whole percent distorts the pace.
-	minPaceGain = 5
-	// maxRatedGangs is the number of gangs whose observations are kept; ratingPeriod is for how long.
-	maxRatedGangs = 1024
-	ratingPeriod  = 60 * time.Second
 	// ratingInterval is the minimum time between two updates of the ratings.
-	ratingInterval = 100 * time.Millisecond
-	// ratingPrior is the weight, in observations, of the assumption that a worker has average speed.
-	ratingPrior = 0.3
-	// outlierRatio is the ratio of a pace to the expected one below which the worker is slow only temporarily,
-	// so that the pace does not count for its rating.
-	outlierRatio = 0.45
+	ratingInterval = 250 * time.Millisecond
+	// ratingSweeps is the number of exchanges between workers and groups in an update.
+	ratingSweeps = 2
 	// ratingStep is the ratio between successive ratings; smaller differences are within the error.
 	ratingStep = 1.1
-	// speedPenalty, in accelerators, weighs a tenth in speed like four racks: on a small fleet speed decides, and on a
-	// large one a search for a fast worker ends after some tens of racks.
-	speedPenalty = 40 * rackPenalty
+	// stepChange is the difference in steps from the published rating at which another one is published; half a step
+	// lets the published ratings alternate.
+	stepChange = 0.75
+	// maxRatingError is the standard error of the logarithm of a speed from which a worker counts as unrated.
+	maxRatingError = 0.2
+	// significance is the number of standard errors by which a worker has to differ from the average, initialSignificance
+	// while it is not known whether the service's workers differ at all: among hundreds of alike ones, some differ by
+	// three.
+	significance        = 2
+	initialSignificance = 4
+	// outlierRatio is the ratio of a pace to the expected one below which the run is a long one or the worker is slow
+	// only temporarily, so that the pace does not count for its rating.
+	outlierRatio = 0.45
+	// defaultSpread and minSpread are the standard deviation of the logarithms of the speeds of a service's workers
+	// while it is not known, and at least; minSpreadWorkers is the number of rated workers from which it is known.
+	defaultSpread    = 0.35
+	minSpread        = 0.05
+	minSpreadWorkers = 8
+	// memoryDrift is the error that a rating gains while there are no observations, and at a change of owner.
+	memoryDrift = 0.1
+	// memoryRuns is the number of observed runs from which the memory of earlier ratings does not count any more.
+	memoryRuns = maxObservations / 2
+	// changeRuns is the number of latest runs that are compared with the earlier ones to find a change of speed.
+	changeRuns = 8
+	// changePeriod is how long the latest runs have to differ, since a worker may be slow for a moment.
+	changePeriod = 3 * time.Second
+	// changeSignificance is the number of standard errors by which they have to differ.
+	changeSignificance = 3
+	// medianVariance is the variance of a median relative to that of a mean.
+	medianVariance = 1.57
+	// minChange is the ratio by which the speeds have to differ; a smaller change shows as observations are replaced.
+	minChange = 1.25
 )
 
-// pace is the speed at which a run progresses, in percent per second; 0 if unknown.
-type pace struct {
-	since   time.Time
-	percent int
-	current float64
+// Rating is the rated speed of a worker.
+type Rating struct {
+	// Steps is the number of rating steps of 1.1 above the average speed.
+	Steps int
+	// Error is the standard error of the natural logarithm of the speed.
+	Error float64
 }
 
-// record updates the pace from the run's reported progress and reports whether there is a new value.
-func (p *pace) record(now time.Time, percent int) bool {
-	if p.since.IsZero() || percent < p.percent {
-		p.since, p.percent = now, percent
-		return false
-	}
-	elapsed := now.Sub(p.since)
-	if elapsed < paceWindow || percent-p.percent < minPaceGain || percent >= wholePercent {
-		return false
-	}
-	p.current = float64(percent-p.percent) / elapsed.Seconds()
-	p.since, p.percent = now, percent
-	return true
+// speedRating is the state of the rating of a worker.
+type speedRating struct {
+	// logSpeed is the natural logarithm of the speed relative to the average, err its standard error; 0 if there
+	// were no observations.
+	logSpeed, err float64
+	// steps is the published rating.
+	steps int
+	// memory is the rating from observations that are not kept.
+	memory estimate
+	// observations are in the order in which the runs were first observed.
+	observations []*paceObservation
+	// observedAt is when the latest run was observed.
+	observedAt time.Time
+	// differsSince is when the latest runs began to differ from the earlier ones; zero if they do not.
+	differsSince time.Time
+	// precision and weighted are the sums of the precisions and of the weighted values of all that is known.
+	precision, weighted float64
+	// update is the number of the latest update that the worker took part in.
+	update int
 }
 
-// gangRun identifies a run of a gang.
-type gangRun struct {
-	job              string
-	occurrence, step int
-	run              int64
+// rated reports whether the speed of the worker is known well enough to rely on.
+func (r *speedRating) rated() bool { return r.err > 0 && r.err <= maxRatingError }
+
+// remember keeps a rating whose observations are gone.
+func (r *speedRating) remember(logSpeed, err float64) {
+	if err > 0 {
+		r.memory = estimate{value: logSpeed, precision: 1 / (err*err + memoryDrift*memoryDrift)}
+	}
 }
 
-// gangObservation holds the latest paces of the members of a gang's run.
-type gangObservation struct {
-	gangRun
+// speedRatings rates the speed of workers relative to their average.
+type speedRatings struct {
+	// groups are in the order in which their runs were first observed.
+	groups     []*paceGroup
+	groupByKey map[paceGroupKey]*paceGroup
+	shapes     map[paceShapeKey]*paceShape
+	// spreads holds the variance of the logarithms of the speeds by service.
+	spreads   map[string]float64
+	changed   bool
+	updatedAt time.Time
+	updates   int
+	// onChange is called for each worker whose rating begins anew, with the steps that it was rated at; it may be nil.
+	onChange func(w *worker, steps int)
+	// workers and buffer are buffers of update.
+	workers []*worker
+	buffer  []float64
+}
 
-	observedAt time.Time
-	members    []memberPace
+// update moves the ratings towards those that explain all observations best.
+func (s *speedRatings) update(now time.Time) {
+	if !s.changed || now.Sub(s.updatedAt) < ratingInterval {
+		return
+	}
+	s.changed = false
+	s.updatedAt = now
+	s.updates++
+	s.expire(now)
+	s.collectWorkers()
+	for range ratingSweeps {
+		for _, g := range s.groups {
+			s.exchange(g)
+		}
+		for _, w := range s.workers {
+			w.rating.solve()
+		}
+	}
+	s.updateShapes()
+	for _, w := range s.workers {
+		if s.detectChange(now, &w.rating) && s.onChange != nil {
+			s.onChange(w, w.rating.steps)
+		}
+		required := float64(initialSignificance)
+		if _, known := s.spreads[w.Service]; known {
+			required = significance
+		}
+		w.rating.publish(required)
+	}
+	s.updateSpreads()
 }
 
-// memberPace is the natural logarithm of the pace of a gang's members on a worker.
-type memberPace struct {
-	worker  *worker
-	logPace float64
+// collectWorkers lists the workers with observations and sums up what is known of each.
+func (s *speedRatings) collectWorkers() {
+	s.workers = s.workers[:0]
+	for _, g := range s.groups {
+		for _, m := range g.members {
+			r := &m.worker.rating
+			if r.update != s.updates {
+				r.update = s.updates
+				r.precision, r.weighted = 1/s.spreadOf(m.worker.Service), 0
+				if len(r.observations) < memoryRuns {
+					r.precision += r.memory.precision
+					r.weighted += r.memory.precision * r.memory.value
+				}
+				r.weigh()
+				s.workers = append(s.workers, m.worker)
+			}
+			r.precision += m.speed.precision
+			r.weighted += m.speed.precision * m.speed.value
+		}
+	}
+	for _, w := range s.workers {
+		w.rating.solve()
+	}
 }
 
-// speedRatings rates the speed of workers relative to their average.
-type speedRatings struct {
-	// observations are in the order in which the runs were first observed.
-	observations []*gangObservation
-	changed      bool
-	updatedAt    time.Time
-	// normalized and rated are buffers of update.
-	normalized []float64
-	rated      []*worker
+// solve computes the rating from the sums.
+func (r *speedRating) solve() {
+	r.logSpeed = r.weighted / r.precision
+	r.err = 1 / math.Sqrt(r.precision)
 }
 
-// observe records the pace of a member of a gang.
-func (s *speedRatings) observe(now time.Time, p *place) {
-	s.changed = true
-	o := s.observationOf(gangRun{job: p.task.stage.job.ID, occurrence: p.task.stage.occurrence, step: p.task.stage.stepNumber, run: p.run})
-	o.observedAt = now
-	logPace := math.Log(p.pace.current)
-	for i := range o.members {
-		if o.members[i].worker == p.worker {
-			o.members[i].logPace = logPace
-			return
+// exchange updates the work of the group from the ratings of its workers, and what it says of each worker from all the
+// others.
+func (s *speedRatings) exchange(g *paceGroup) {
+	s.updateCentre(g)
+	work := g.shape.work()
+	var sum estimate
+	sum.precision = work.precision + g.past.precision
+	sum.value = work.precision*work.value + g.past.precision*g.past.value
+	for _, m := range g.members {
+		m.average(g.centre)
+		m.work = estimate{}
+		if m.variance == 0 {
+			continue
 		}
+		r := &m.worker.rating
+		// What the group itself has said of the worker does not count for the group.
+		precision := r.precision - m.speed.precision
+		speed := (r.weighted - m.speed.precision*m.speed.value) / precision
+		m.work = estimate{value: m.logPace - speed, precision: 1 / (m.variance + 1/precision)}
+		sum.precision += m.work.precision
+		sum.value += m.work.precision * m.work.value
+	}
+	for _, m := range g.members {
+		var speed estimate
+		// The subtraction leaves a rounding error if there are no others.
+		if others := sum.precision - m.work.precision; m.variance > 0 && others > sum.precision*1e-9 {
+			centre := (sum.value - m.work.precision*m.work.value) / others
+			speed = estimate{value: m.logPace - centre, precision: 1 / (m.variance + 1/others)}
+		}
+		r := &m.worker.rating
+		r.precision += speed.precision - m.speed.precision
+		r.weighted += speed.precision*speed.value - m.speed.precision*m.speed.value
+		m.speed = speed
 	}
-	o.members = append(o.members, memberPace{worker: p.worker, logPace: logPace})
 }
 
-// observationOf returns the observation of the run, which it adds if there is none.
-func (s *speedRatings) observationOf(run gangRun) *gangObservation {
-	for _, o := range slices.Backward(s.observations) {
-		if o.gangRun == run {
-			return o
+// updateCentre sets the centre of the group to the median of its runs, which long ones do not move.
+func (s *speedRatings) updateCentre(g *paceGroup) {
+	s.buffer = s.buffer[:0]
+	for _, m := range g.members {
+		for _, o := range m.runs {
+			s.buffer = append(s.buffer, o.logPace-m.worker.rating.logSpeed)
 		}
 	}
-	o := &gangObservation{gangRun: run}
-	s.observations = append(s.observations, o)
-	return o
+	for range g.pastRuns {
+		s.buffer = append(s.buffer, g.past.value)
+	}
+	g.centre = median(s.buffer)
 }
 
-// update moves the ratings towards the least-squares solution of all observations.
-func (s *speedRatings) update(now time.Time) {
-	if !s.changed || now.Sub(s.updatedAt) < ratingInterval {
-		return
-	}
-	s.changed = false
-	s.updatedAt = now
-	s.observations = slices.Delete(s.observations, 0, max(0, len(s.observations)-maxRatedGangs))
-	s.observations = slices.DeleteFunc(s.observations, func(o *gangObservation) bool { return now.Sub(o.observedAt) >= ratingPeriod })
-	s.rated = s.rated[:0]
-	for _, o := range s.observations {
-		if len(o.members) > 1 {
-			s.addResiduals(o)
+// average sets the mean pace of the member's runs without outliers, and its variance; the latter is 0 if none counts.
+func (m *groupMember) average(centre float64) {
+	r := &m.worker.rating
+	// A worker whose speed is hardly known may be slow or fast itself.
+	threshold := r.err - math.Log(outlierRatio)
+	m.logPace, m.variance = 0, 0
+	precision := 0.0
+	for _, o := range m.runs {
+		if math.Abs(o.logPace-centre-r.logSpeed) > threshold {
+			continue
 		}
+		own := o.weight / (o.variance + m.group.shape.noise)
+		precision += own
+		m.logPace += own * o.logPace
 	}
-	for _, w := range s.rated {
-		w.logSpeed = w.speedSum / (float64(w.speedCount) + ratingPrior)
-		w.speedRated = true
-		w.speedSum, w.speedCount = 0, 0
+	if precision > 0 {
+		m.logPace /= precision
+		m.variance = 1 / precision
 	}
 }
 
-// addResiduals adds the speeds that the observation implies to the sums of its workers.
-func (s *speedRatings) addResiduals(o *gangObservation) {
-	s.normalized = s.normalized[:0]
-	for _, m := range o.members {
-		s.normalized = append(s.normalized, m.logPace-m.worker.logSpeed)
+// median sorts the values and returns their median; 0 if there are none.
+func median(values []float64) float64 {
+	count := len(values)
+	if count == 0 {
+		return 0
 	}
-	slices.Sort(s.normalized)
-	// The median is the pace on an average worker; a temporarily slow worker does not move it.
-	count := len(s.normalized)
-	average := (s.normalized[(count-1)/2] + s.normalized[count/2]) / 2
-	for _, m := range o.members {
-		if m.logPace-average-m.worker.logSpeed < math.Log(outlierRatio) {
+	slices.Sort(values)
+	return (values[(count-1)/2] + values[count/2]) / 2 //nolint:mnd // The mean of the two in the middle.
+}
+
+// spreadOf returns the variance of the logarithms of the speeds of the service's workers.
+func (s *speedRatings) spreadOf(service string) float64 {
+	if spread, ok := s.spreads[service]; ok {
+		return spread
+	}
+	return defaultSpread * defaultSpread
+}
+
+// updateSpreads estimates how much the speeds of each service's workers differ beyond the errors of their ratings: alike
+// workers are rated as average, whatever the noise of their runs.
+func (s *speedRatings) updateSpreads() {
+	type sums struct{ count, squares, errors float64 }
+	services := map[string]*sums{}
+	for _, w := range s.workers {
+		own := w.rating.precision - 1/s.spreadOf(w.Service)
+		if own*maxRatingError*maxRatingError < 1 {
 			continue
 		}
-		if m.worker.speedCount == 0 {
-			s.rated = append(s.rated, m.worker)
+		sum := services[w.Service]
+		if sum == nil {
+			sum = &sums{}
+			services[w.Service] = sum
+		}
+		value := w.rating.weighted / own
+		sum.count++
+		sum.squares += value * value
+		sum.errors += 1 / own
+	}
+	if s.spreads == nil {
+		s.spreads = map[string]float64{}
+	}
+	for service, sum := range services {
+		if sum.count >= minSpreadWorkers {
+			s.spreads[service] = max((sum.squares-sum.errors)/sum.count, minSpread*minSpread)
 		}
-		m.worker.speedSum += m.logPace - average
-		m.worker.speedCount++
 	}
 }
 
-// observePace updates the pace of a run from its progress and, for gangs, the rating of its worker.
-func (a *Arranger) observePace(now time.Time, p *place) {
-	if p.state == placeRunning && p.pace.record(now, p.percent) && p.task.stage.step.Gang {
-		a.speeds.observe(now, p)
+// detectChange discards the earlier observations of a worker whose latest runs differ from them, and reports whether it
+// did.
+func (s *speedRatings) detectChange(now time.Time, r *speedRating) bool {
+	earlier := len(r.observations) - changeRuns
+	if earlier < changeRuns/2 || !s.differs(r, earlier) {
+		r.differsSince = time.Time{}
+		return false
 	}
+	if r.differsSince.IsZero() {
+		r.differsSince = now
+	}
+	if now.Sub(r.differsSince) < changePeriod {
+		return false
+	}
+	// The median of the latest runs shows a change once half of them follow it.
+	r.discard(len(r.observations) - changeRuns/2)
+	r.memory, r.differsSince = estimate{}, time.Time{}
+	// The remaining runs were compared with the rating that is given up.
+	r.logSpeed, r.err = 0, defaultSpread
+	s.changed = true
+	return true
 }
 
-// speed returns the rated speed of the worker relative to the average, in steps of ratingStep. One that has not been
-// rated counts as a step faster than the average, so that urgent gangs try it.
-func (w *worker) speed() float64 {
-	if !w.speedRated {
-		return ratingStep
+// differs reports whether the worker's runs from the given one on differ from the earlier ones by more than the error.
+func (s *speedRatings) differs(r *speedRating, from int) bool {
+	earlier, earlierVariance := s.medianSpeed(r.observations[:from])
+	latest, latestVariance := s.medianSpeed(r.observations[from:])
+	return math.Abs(latest-earlier) > max(changeSignificance*math.Sqrt(earlierVariance+latestVariance), math.Log(minChange))
+}
+
+// medianSpeed returns the median speed that the observations imply, and its variance. A mean would follow the tasks that
+// take several times as long: few as they are, they are a fifth of those that run at a time.
+func (s *speedRatings) medianSpeed(observations []*paceObservation) (value, variance float64) {
+	s.buffer = s.buffer[:0]
+	for _, o := range observations {
+		s.buffer = append(s.buffer, o.logPace-o.member.group.centre)
+		variance += o.variance + o.member.group.shape.noise
 	}
-	return math.Pow(ratingStep, float64(w.speedSteps()))
+	count := float64(len(observations))
+	return median(s.buffer), medianVariance * variance / (count * count)
 }
 
-// speedSteps returns the number of rating steps by which the worker is faster than the average.
-func (w *worker) speedSteps() int { return int(math.Round(w.logSpeed / math.Log(ratingStep))) }
+// publish updates the published rating where the difference is more than noise; the worker is rated as average unless it
+// differs by the required number of standard errors.
+func (r *speedRating) publish(required float64) {
+	steps := r.logSpeed / math.Log(ratingStep)
+	if math.Abs(r.logSpeed) < required*r.err {
+		steps = 0
+	}
+	if math.Abs(steps-float64(r.steps)) > stepChange {
+		r.steps = int(math.Round(steps))
+	}
+}
+
+// speed returns the rated speed of the worker relative to the average, in steps of ratingStep; 1 if it is not rated.
+func (w *worker) speed() float64 {
+	if !w.rating.rated() {
+		return 1
+	}
+	return math.Pow(ratingStep, float64(w.rating.steps))
+}
 
-// Speeds returns the rated speeds of the workers, by ID, in steps above the average; those of average speed are left
-// out.
-func (a *Arranger) Speeds() map[string]int {
-	speeds := map[string]int{}
+// Speeds returns the ratings of the rated workers, by ID.
+func (a *Arranger) Speeds() map[string]Rating {
+	speeds := map[string]Rating{}
 	for id, w := range a.workers {
-		if steps := w.speedSteps(); w.speedRated && steps != 0 {
-			speeds[id] = steps
+		if w.rating.rated() {
+			speeds[id] = Rating{Steps: w.rating.steps, Error: w.rating.err}
 		}
 	}
 	return speeds
 }
 
-// RestoreSpeed sets the speed that a previous owner has rated the worker at, in steps above the average.
-func (a *Arranger) RestoreSpeed(id string, steps int) {
-	if w := a.workers[id]; w != nil && !w.speedRated {
-		w.logSpeed = float64(steps) * math.Log(ratingStep)
-		w.speedRated = true
+// RestoreSpeed sets the rating by a previous owner of a worker that has not been rated yet.
+func (a *Arranger) RestoreSpeed(id string, rating Rating) {
+	w := a.workers[id]
+	if w == nil || w.rating.rated() {
+		return
 	}
+	r := &w.rating
+	r.logSpeed, r.err, r.steps = float64(rating.Steps)*math.Log(ratingStep), rating.Error, rating.Steps
+	r.remember(r.logSpeed, r.err)
 }
 
-// speedMisfit returns how badly the speed of the candidate suits the unit, in accelerators.
-func (ps *pass) speedMisfit(u unit, cand *candidate) float64 {
-	if u.rank <= rankUrgent {
-		return speedPenalty * (ps.maxSpeed/cand.speed - 1)
-	}
-	return speedPenalty * (cand.speed/ps.minSpeed - 1)
+// recordSpeedChange logs and counts a worker whose rating begins anew.
+func (a *Arranger) recordSpeedChange(w *worker, steps int) {
+	a.counts.SpeedChanges++
+	a.options.Log("worker changed its speed", "worker", w.ID, "rated", math.Pow(ratingStep, float64(steps)), "runs", len(w.rating.observations))
 }
--- a/arranger/speed_test.go
+++ b/arranger/speed_test.go
@@ -15,15 +15,18 @@
 
 	speeds map[string]float64
 	runs   map[string][]*simulatedRun
+	// workOf returns the duration of a task on a worker of speed 1.
+	workOf func(s StartOrder) time.Duration
 }
 
 // simulatedRun is a run on a simulated worker.
 type simulatedRun struct {
-	order     StartOrder
-	startedAt time.Time
+	order StartOrder
+	// progressedAt is when done, the part of the work that is done, was last updated.
+	progressedAt time.Time
+	done         time.Duration
 	// work is the duration of the task on a worker of speed 1.
 	work time.Duration
-	gang bool
 }
 
 func newSpeedFleet(t *testing.T, racks, perRack int, speeds ...float64) *speedFleet {
@@ -35,16 +38,19 @@
 	return f
 }
 
-// start confirms the started runs and simulates them; a gang has several tasks.
-func (f *speedFleet) start(o Orders, work map[string]time.Duration, gangs map[string]bool) {
+// start confirms the started runs and simulates them.
+func (f *speedFleet) start(o Orders) {
 	f.confirmStarts(o)
 	for _, s := range o.Starts {
-		f.runs[s.Worker] = append(f.runs[s.Worker], &simulatedRun{order: s, startedAt: f.now, work: work[s.Task.Job], gang: gangs[s.Task.Job]})
+		f.runs[s.Worker] = append(f.runs[s.Worker], &simulatedRun{order: s, progressedAt: f.now, work: f.workOf(s)})
 	}
 }
 
+// percent advances the run to the present time and returns its progress.
 func (f *speedFleet) percent(worker string, r *simulatedRun) int {
-	return min(wholePercent, int(wholePercent*f.now.Sub(r.startedAt).Seconds()*f.speeds[worker]/r.work.Seconds()))
+	r.done += time.Duration(float64(f.now.Sub(r.progressedAt)) * f.speeds[worker])
+	r.progressedAt = f.now
+	return min(wholePercent, int(wholePercent*r.done/r.work))
 }
 
 // report lets all workers report; it ends single tasks and gangs whose members have all completed.
@@ -63,7 +69,7 @@
 		var kept []*simulatedRun
 		for _, r := range f.runs[w.ID] {
 			percent := f.percent(w.ID, r)
-			if percent < wholePercent || r.gang && incomplete[r.order.Task.Job] {
+			if percent < wholePercent || r.order.Gang && incomplete[r.order.Task.Job] {
 				report.Running = append(report.Running, RunReport{Task: r.order.Task.String(), Run: r.order.Run, Percent: percent})
 				kept = append(kept, r)
 				continue
@@ -86,25 +92,28 @@
 		learningSeconds  = 40
 	)
 	f := newSpeedFleet(t, 4, 6, slowest, 1, fastest)
-	work, gangs := map[string]time.Duration{}, map[string]bool{}
+	f.workOf = func(s StartOrder) time.Duration {
+		if s.Gang {
+			return 2500 * time.Millisecond
+		}
+		return 8 * time.Second
+	}
 	fast, all := 0, 0
 	for second := range seconds {
 		if second%gangInterval == 0 {
 			urgent := jobOf(fmt.Sprintf("urgent-%d", second), 0, gang(3, 4))
 			urgent.Accepted = f.now
-			work[urgent.ID], gangs[urgent.ID] = 2500*time.Millisecond, true
 			f.AddJob(f.now, urgent, Progress{}, false)
 		}
 		for i := range 3 {
 			bulk := jobOf(fmt.Sprintf("bulk-%d-%d", second, i), 2, single(1, 2))
 			bulk.Accepted = f.now
-			work[bulk.ID] = 8 * time.Second
 			f.AddJob(f.now, bulk, Progress{}, false)
 		}
 		o := f.planAfter(time.Second)
-		f.start(o, work, gangs)
+		f.start(o)
 		for _, s := range o.Starts {
-			if second >= learningSeconds && gangs[s.Task.Job] {
+			if second >= learningSeconds && s.Gang {
 				all++
 				if f.speeds[s.Worker] == fastest {
 					fast++
@@ -134,7 +143,7 @@
 	now := start
 	for run := range int64(80) {
 		now = now.Add(200 * time.Millisecond)
-		stage := &stage{job: &job{Job: Job{ID: "gang"}}}
+		stage := &stage{job: &job{Job: Job{ID: "gang"}}, step: Step{Gang: true}}
 		basePace := 5 + 40*random.Float64()
 		for _, i := range random.Perm(len(workers))[:3] {
 			paceOfMember := basePace * speeds[i]
@@ -142,12 +151,12 @@
 				// A worker that is slow for a moment keeps its rating.
 				paceOfMember /= 8
 			}
-			s.observe(now, &place{task: &task{stage: stage}, worker: workers[i], run: run, pace: pace{current: paceOfMember}})
+			s.observe(now, &place{task: &task{stage: stage}, worker: workers[i], run: run}, paceOfMember, 0)
 		}
 		s.update(now)
 	}
 	for i, w := range workers {
-		ratio := math.Exp(w.logSpeed-workers[2].logSpeed) / speeds[i]
+		ratio := math.Exp(w.rating.logSpeed-workers[2].rating.logSpeed) / speeds[i]
 		if ratio < 1/ratingStep || ratio > ratingStep {
 			t.Errorf("worker of speed %.2f is rated %.2f relative to one of speed 1", speeds[i], ratio*speeds[i])
 		}
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -41,6 +41,8 @@
 	// stopOrderedAt is when the latest stop was ordered, stoppingSince when the first one was.
 	stopOrderedAt, stoppingSince time.Time
 	pace                         pace
+	// observation is the observed pace of the run; nil if there is none.
+	observation *paceObservation
 	// adopted means that a previous owner started the run.
 	adopted bool
 	// fencedOff means that the run was started on an earlier incarnation of the worker, so that it exists only if the present one lists it.
@@ -161,12 +163,8 @@
 	health     health
 	// earlierCrashes are the crashes of earlier incarnations, which are attributed once this one has reported.
 	earlierCrashes []pendingCrash
-	// logSpeed is the natural logarithm of the rated speed if speedRated is set; speedSum and speedCount are used
-	// to update it.
-	speedRated bool
-	logSpeed   float64
-	speedSum   float64
-	speedCount int
+	// rating is the state of its rated speed.
+	rating speedRating
 	// candidate is the worker's state in the latest planning pass; nil if it took no part.
 	candidate *candidate
 }
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -98,6 +98,8 @@
 	gangLoss map[*stage]float64
 	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
 	minSpeed, maxSpeed float64
+	// rooms is a buffer of roomsBySpeed.
+	rooms []roomAtSpeed
 	// trials is the number of trials so far.
 	trials int
 	// acceptsSuspects means that the unit being placed has to make do with workers that it would avoid; avoided means
@@ -313,7 +315,15 @@
 		if rack.accelerators < need || !preempt && rack.free < need {
 			continue
 		}
-		p := ps.pack(u, tasks, rack.candidates, preempt)
+		var speeds speedRange
+		if !preempt {
+			var misfit float64
+			speeds, misfit = ps.suitableSpeeds(u, len(tasks), rack.candidates)
+			if best != nil && best.lostWork <= 0 && rackPenalty*float64(i*len(tasks))+misfit >= best.misfit {
+				continue
+			}
+		}
+		p := ps.pack(u, tasks, rack.candidates, preempt, speeds)
 		if p != nil && (best == nil || cmp.Or(cmp.Compare(p.lostWork, best.lostWork), cmp.Compare(p.misfit, best.misfit)) < 0) {
 			best = p
 		}
--- a/director/planwatch.go
+++ b/director/planwatch.go
@@ -97,6 +97,9 @@
 		{"owner.claims.timedOut", counts.ClaimsTimedOut},
 		{"owner.quarantines", counts.Quarantines},
 		{"owner.workers.restarted", counts.WorkersRestarted},
+		{"owner.speeds.rated", counts.WorkersRated},
+		{"owner.speeds.notAverage", counts.WorkersNotAverage},
+		{"owner.speeds.changes", counts.SpeedChanges},
 	} {
 		d.SetGauge(gauge.name, gauge.value)
 	}
--- a/director/speeds_test.go
+++ b/director/speeds_test.go
@@ -46,7 +46,7 @@
 			if id == tt.fast {
 				steps = 2
 			}
-			previous.arranger.RestoreSpeed(id, steps)
+			previous.arranger.RestoreSpeed(id, arranger.Rating{Steps: steps, Error: 0.05})
 		}
 		var b batch
 		previous.addSpeeds(&b)
@@ -67,6 +67,23 @@
 	}
 }
 
+// The next owner would try workers of average speed anew, and place urgent gangs without their ratings.
+func TestTheNextOwnerKnowsTheWorkersOfAverageSpeed(t *testing.T) {
+	previous, next := newFleetTerm(t, time.Now(), 1), newFleetTerm(t, time.Now(), 1)
+	previous.arranger.RestoreSpeed("w1", arranger.Rating{Error: 0.07})
+	var b batch
+	previous.addSpeeds(&b)
+	next.restoreSpeeds(b.puts[0])
+	speeds := next.arranger.Speeds()
+	if rating, ok := speeds["w1"]; !ok || rating.Steps != 0 || rating.Error != 0.1 || len(speeds) != 1 {
+		t.Errorf("got speeds %v, want w1 of average speed, with the next larger recorded error", speeds)
+	}
+	previous.addSpeeds(&b)
+	if len(b.puts) != 1 {
+		t.Errorf("%d rows although nothing has changed", len(b.puts))
+	}
+}
+
 func TestUnreadableSpeedsAreIgnored(t *testing.T) {
 	owner := newFleetTerm(t, time.Now(), 1)
 	owner.restoreSpeeds(platform.Row{Key: registrar.SpeedsKey, Value: []byte(`{"w1":`)})
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -33,7 +33,7 @@
 	LeaseKey = "lease"
 	// PendingKey is the key of the row with the number of pending jobs of each queue.
 	PendingKey = "pending"
-	// SpeedsKey is the key of the row with the rated speeds of the workers, as a map of their IDs to WorkerSpeed.
+	// SpeedsKey is the key of the row with the rated speeds of the workers.
 	SpeedsKey = "speeds"
 )
 
@@ -160,13 +160,6 @@
 	LeaseEndMillis int64 `json:"leaseEnd,omitempty"`
 }
 
-// WorkerSpeed is the rated speed of an incarnation of a worker.
-type WorkerSpeed struct {
-	Incarnation int64 `json:"born"`
-	// Steps is the number of rating steps above the average speed.
-	Steps int `json:"steps"`
-}
-
 // WorkerShard returns the number of the shard that lists the worker.
 func WorkerShard(workerID string) int { return int(hash(workerID) % workerShards) }
 
