arranger: Keep the average of the ratings in place

Observations compare workers with each other only: with tasks that report no progress, whose fast workers end first, all ratings drifted to half of their speed within a minute, and the drift counted as a spread of the speeds. The ratings of a service are now shifted so that they average to one.

A change of speed is judged by what the siblings of a run say, since a gang on one worker says nothing of it; earlier observations fade in 10 s of the worker's own time.

--- a/arranger/arranger_bench_test.go
+++ b/arranger/arranger_bench_test.go
@@ -132,3 +132,24 @@
 
 func BenchmarkFill1100Workers(b *testing.B)              { benchmarkFill(b, 0) }
 func BenchmarkFill1100WorkersOfThreeSpeeds(b *testing.B) { benchmarkFill(b, -2, 0, 2) }
+
+// BenchmarkRatings1100Workers measures an update of the ratings with as many observations as are kept.
+func BenchmarkRatings1100Workers(b *testing.B) {
+	const workers, siblings = 1100, 39
+	var s speedRatings
+	all := make([]*worker, workers)
+	for i := range all {
+		all[i] = &worker{}
+	}
+	for i := range workers * maxObservations {
+		st := &stage{job: &job{Job: Job{ID: fmt.Sprintf("wide-%d", i/siblings), Queue: "q"}}, step: single(siblings, 1)}
+		s.observe(start, &place{task: &task{stage: st}, worker: all[i*7%workers]}, float64(10+i%siblings), 0.05)
+	}
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(ratingInterval)
+		s.changed = true
+		s.update(now, all)
+	}
+}
--- a/arranger/pace.go
+++ b/arranger/pace.go
@@ -20,7 +20,7 @@
 	maxObservations = 24
 	// fadeTime is the time in which the weight of an observation halves and fadePeriod that after which it does not count,
 	// both up to the latest observation of the worker: an idle worker keeps its rating.
-	fadeTime   = 20 * time.Second
+	fadeTime   = 10 * time.Second
 	fadePeriod = 3 * fadeTime
 	// ratingPeriod is how long the observations of an idle worker are kept; its rating stays as a memory.
 	ratingPeriod = 5 * time.Minute
@@ -62,6 +62,7 @@
 // paceGroup holds the observed paces of runs of equal or similar work.
 type paceGroup struct {
 	key     paceGroupKey
+	service string
 	shape   *paceShape
 	members []*groupMember
 	// centre is the natural logarithm of the pace of the group's work on a worker of average speed.
@@ -77,8 +78,9 @@
 	group  *paceGroup
 	worker *worker
 	runs   []*paceObservation
-	// speed is what the group says of the worker's speed.
-	speed estimate
+	// speed is what the group says of the worker's speed, others what the other members and the shape say of the group's
+	// centre.
+	speed, others estimate
 	// logPace is the mean of the runs that count, variance its error without that of the ratings; work is what it says
 	// of the group's centre. They are buffers of paceGroup.exchange.
 	logPace, variance float64
@@ -98,7 +100,8 @@
 
 // paceShapeKey identifies the steps of a queue that have the same shape.
 type paceShapeKey struct {
-	queue string
+	service, queue string
+
 	gang  bool
 	count int
 	need  Resources
@@ -130,7 +133,7 @@
 		if s.groupByKey == nil {
 			s.groupByKey = map[paceGroupKey]*paceGroup{}
 		}
-		g = &paceGroup{key: key, shape: s.shapeOf(st)}
+		g = &paceGroup{key: key, service: p.worker.Service, shape: s.shapeOf(st)}
 		s.groupByKey[key] = g
 		s.groups = append(s.groups, g)
 	}
@@ -151,7 +154,7 @@
 
 // shapeOf returns the shape of the stage's step, which it adds if there is none.
 func (s *speedRatings) shapeOf(st *stage) *paceShape {
-	key := paceShapeKey{queue: st.job.Queue, gang: st.step.Gang, count: st.step.Count, need: st.step.Need}
+	key := paceShapeKey{service: st.job.Policy.Service, queue: st.job.Queue, gang: st.step.Gang, count: st.step.Count, need: st.step.Need}
 	shape := s.shapes[key]
 	if shape == nil {
 		if s.shapes == nil {
--- a/arranger/speed.go
+++ b/arranger/speed.go
@@ -18,7 +18,7 @@
 
 const (
 	// ratingInterval is the minimum time between two updates of the ratings.
-	ratingInterval = 250 * time.Millisecond
+	ratingInterval = 500 * time.Millisecond
 	// ratingSweeps is the number of exchanges between workers and groups in an update.
 	ratingSweeps = 2
 	// ratingStep is the ratio between successive ratings; smaller differences are within the error.
@@ -51,8 +51,8 @@
 	changePeriod = 3 * time.Second
 	// changeSignificance is the number of standard errors by which they have to differ.
 	changeSignificance = 3
-	// medianVariance is the variance of a median relative to that of a mean.
-	medianVariance = 1.57
+	// leastShare is the share of a sum from which a difference is no rounding error.
+	leastShare = 1e-9
 	// minChange is the ratio by which the speeds have to differ; a smaller change shows as observations are replaced.
 	minChange = 1.25
 )
@@ -114,8 +114,8 @@
 	buffer  []float64
 }
 
-// update moves the ratings towards those that explain all observations best.
-func (s *speedRatings) update(now time.Time) {
+// update moves the ratings of the fleet towards those that explain all observations best.
+func (s *speedRatings) update(now time.Time, fleet []*worker) {
 	if !s.changed || now.Sub(s.updatedAt) < ratingInterval {
 		return
 	}
@@ -137,13 +137,12 @@
 		if s.detectChange(now, &w.rating) && s.onChange != nil {
 			s.onChange(w, w.rating.steps)
 		}
-		required := float64(initialSignificance)
-		if _, known := s.spreads[w.Service]; known {
-			required = significance
-		}
-		w.rating.publish(required)
 	}
-	s.updateSpreads()
+	for _, average := range s.averages(fleet) {
+		s.shift(fleet, average.service, -average.mean)
+		s.publish(fleet, average.service)
+		s.updateSpread(average)
+	}
 }
 
 // collectWorkers lists the workers with observations and sums up what is known of each.
@@ -201,10 +200,9 @@
 	}
 	for _, m := range g.members {
 		var speed estimate
-		// The subtraction leaves a rounding error if there are no others.
-		if others := sum.precision - m.work.precision; m.variance > 0 && others > sum.precision*1e-9 {
-			centre := (sum.value - m.work.precision*m.work.value) / others
-			speed = estimate{value: m.logPace - centre, precision: 1 / (m.variance + 1/others)}
+		m.others = sum.without(m.work)
+		if m.variance > 0 && m.others.precision > 0 {
+			speed = estimate{value: m.logPace - m.others.value, precision: 1 / (m.variance + 1/m.others.precision)}
 		}
 		r := &m.worker.rating
 		r.precision += speed.precision - m.speed.precision
@@ -213,6 +211,16 @@
 	}
 }
 
+// without returns the estimate from all parts of the sum, whose value is weighted, but the given one.
+func (sum estimate) without(part estimate) estimate {
+	precision := sum.precision - part.precision
+	// The subtraction leaves a rounding error if there is no other part.
+	if precision <= sum.precision*leastShare {
+		return estimate{}
+	}
+	return estimate{value: (sum.value - part.precision*part.value) / precision, precision: precision}
+}
+
 // updateCentre sets the centre of the group to the median of its runs, which long ones do not move.
 func (s *speedRatings) updateCentre(g *paceGroup) {
 	s.buffer = s.buffer[:0]
@@ -258,44 +266,6 @@
 	return (values[(count-1)/2] + values[count/2]) / 2 //nolint:mnd // The mean of the two in the middle.
 }
 
-// spreadOf returns the variance of the logarithms of the speeds of the service's workers.
-func (s *speedRatings) spreadOf(service string) float64 {
-	if spread, ok := s.spreads[service]; ok {
-		return spread
-	}
-	return defaultSpread * defaultSpread
-}
-
-// updateSpreads estimates how much the speeds of each service's workers differ beyond the errors of their ratings: alike
-// workers are rated as average, whatever the noise of their runs.
-func (s *speedRatings) updateSpreads() {
-	type sums struct{ count, squares, errors float64 }
-	services := map[string]*sums{}
-	for _, w := range s.workers {
-		own := w.rating.precision - 1/s.spreadOf(w.Service)
-		if own*maxRatingError*maxRatingError < 1 {
-			continue
-		}
-		sum := services[w.Service]
-		if sum == nil {
-			sum = &sums{}
-			services[w.Service] = sum
-		}
-		value := w.rating.weighted / own
-		sum.count++
-		sum.squares += value * value
-		sum.errors += 1 / own
-	}
-	if s.spreads == nil {
-		s.spreads = map[string]float64{}
-	}
-	for service, sum := range services {
-		if sum.count >= minSpreadWorkers {
-			s.spreads[service] = max((sum.squares-sum.errors)/sum.count, minSpread*minSpread)
-		}
-	}
-}
-
 // detectChange discards the earlier observations of a worker whose latest runs differ from them, and reports whether it
 // did.
 func (s *speedRatings) detectChange(now time.Time, r *speedRating) bool {
@@ -321,33 +291,41 @@
 
 // differs reports whether the worker's runs from the given one on differ from the earlier ones by more than the error.
 func (s *speedRatings) differs(r *speedRating, from int) bool {
-	earlier, earlierVariance := s.medianSpeed(r.observations[:from])
-	latest, latestVariance := s.medianSpeed(r.observations[from:])
+	earlier, earlierVariance := s.impliedSpeed(r.observations[:from])
+	latest, latestVariance := s.impliedSpeed(r.observations[from:])
 	return math.Abs(latest-earlier) > max(changeSignificance*math.Sqrt(earlierVariance+latestVariance), math.Log(minChange))
 }
 
-// medianSpeed returns the median speed that the observations imply, and its variance. A mean would follow the tasks that
-// take several times as long: few as they are, they are a fifth of those that run at a time.
-func (s *speedRatings) medianSpeed(observations []*paceObservation) (value, variance float64) {
+// impliedSpeed returns the mean speed that the observations imply by the work of the worker's siblings, without long
+// runs, and its variance, which is infinite if there are no siblings. Long runs are told by their distance from the
+// median: few as they are, they are a fifth of those that run at a time.
+func (s *speedRatings) impliedSpeed(observations []*paceObservation) (mean, variance float64) {
 	s.buffer = s.buffer[:0]
 	for _, o := range observations {
-		s.buffer = append(s.buffer, o.logPace-o.member.group.centre)
-		variance += o.variance + o.member.group.shape.noise
+		if o.member.others.precision > 0 {
+			s.buffer = append(s.buffer, o.logPace-o.member.others.value)
+		}
 	}
-	count := float64(len(observations))
-	return median(s.buffer), medianVariance * variance / (count * count)
-}
-
-// publish updates the published rating where the difference is more than noise; the worker is rated as average unless it
-// differs by the required number of standard errors.
-func (r *speedRating) publish(required float64) {
-	steps := r.logSpeed / math.Log(ratingStep)
-	if math.Abs(r.logSpeed) < required*r.err {
-		steps = 0
+	middle := median(s.buffer)
+	count, groups := 0.0, 0.0
+	var noise, groupNoise float64
+	for i, o := range observations {
+		implied := o.logPace - o.member.others.value
+		if o.member.others.precision == 0 || math.Abs(implied-middle) > -math.Log(outlierRatio) {
+			continue
+		}
+		count++
+		mean += implied
+		noise += o.variance + o.member.group.shape.noise
+		if i == 0 || observations[i-1].member != o.member {
+			groups++
+			groupNoise += 1 / o.member.others.precision
+		}
 	}
-	if math.Abs(steps-float64(r.steps)) > stepChange {
-		r.steps = int(math.Round(steps))
+	if count == 0 || groups == 0 {
+		return 0, math.Inf(1)
 	}
+	return mean / count, noise/(count*count) + groupNoise/(groups*groups)
 }
 
 // speed returns the rated speed of the worker relative to the average, in steps of ratingStep; 1 if it is not rated.
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -117,7 +117,7 @@
 		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
 		minSpeed: math.Inf(1),
 	}
-	a.speeds.update(now)
+	a.speeds.update(now, a.sortedWorkers)
 	a.limitQuarantine(now)
 	avoidsUnanswered := a.avoidsUnanswered(now)
 	all := make([]candidate, len(a.sortedWorkers))
