--- a/arranger/gangspeed.go
+++ b/arranger/gangspeed.go
@@ -69,9 +69,10 @@
 func excessSpeed(speed, slowest float64) float64 { return max(0, speed/(slowest*ratingStep)-1) }
 
 // suitableSpeeds returns the range of speeds of the free candidates that suits the gang best, and how badly it suits at
-// least, in accelerators. The range is that of all speeds if the candidates do not differ or have no room.
+// least, in accelerators. The range is that of all speeds if the candidates do not differ or have no room, and for gangs
+// for which the risk of a crash or the place of the data comes first.
 func (ps *pass) suitableSpeeds(u unit, count int, candidates []*candidate) (speedRange, float64) {
-	if ps.isEven() || !u.stage.step.Gang {
+	if s := u.stage; ps.isEven() || !s.step.Gang || s.suspects > 0 || s.step.DataRack != "" {
 		return speedRange{}, 0
 	}
 	rooms := ps.roomsBySpeed(u, count, candidates)
