arranger: Compare speeds within a service

The range of speeds that decides whether speed counts for a placement was that of all workers; a service of alike workers beside one of three speeds had its unrated workers preferred and searched more racks. The range is now that of the service. The error of a pace includes the jitter of reports, and the noise of gangs is known from six pairs of members on one worker, with 0.05 before.

--- a/arranger/gangspeed.go
+++ b/arranger/gangspeed.go
@@ -28,39 +28,57 @@
 	return r.high == 0 || speed >= r.low && speed <= r.high
 }
 
-// isEven reports whether the candidates differ in speed by no more than the error of the ratings, so that speed does not
-// count for placement.
-func (ps *pass) isEven() bool {
-	return ps.maxSpeed < ps.minSpeed*ratingStep*ratingStep*(1-speedRounding)
+// isEven reports whether the speeds differ by no more than the error of the ratings, so that they do not count for
+// placement.
+func (r speedRange) isEven() bool { return r.high < r.low*ratingStep*ratingStep*(1-speedRounding) }
+
+// addSpeed adds the speed of the candidate to the range of its service.
+func (ps *pass) addSpeed(cand *candidate) {
+	r := ps.speeds[cand.worker.Service]
+	if r == nil {
+		r = &speedRange{low: cand.speed, high: cand.speed}
+		ps.speeds[cand.worker.Service] = r
+	}
+	r.low, r.high = min(r.low, cand.speed), max(r.high, cand.speed)
+	cand.fleetSpeeds = r
+}
+
+// speedsFor returns the range of the speeds of the candidates that may run the unit.
+func (ps *pass) speedsFor(u unit) speedRange {
+	if r := ps.speeds[u.stage.job.Policy.Service]; r != nil {
+		return *r
+	}
+	return speedRange{}
 }
 
 // speedMisfit returns how badly the speed of the candidate suits a task of the unit, in accelerators.
-func (ps *pass) speedMisfit(u unit, cand *candidate) float64 {
-	if ps.isEven() {
+func (u unit) speedMisfit(cand *candidate) float64 {
+	if cand.fleetSpeeds.isEven() {
 		return 0
 	}
 	if u.rank <= rankUrgent {
-		return speedPenalty * (ps.maxSpeed/cand.speed - 1)
+		return speedPenalty * (cand.fleetSpeeds.high/cand.speed - 1)
 	}
 	if !cand.worker.rating.rated() && !u.stage.step.Gang {
 		return 0
 	}
-	return speedPenalty * (cand.speed/ps.minSpeed - 1)
+	return speedPenalty * (cand.speed/cand.fleetSpeeds.low - 1)
 }
 
-// speedMisfit is that of the pass or, within a range of speeds, how much of the candidate's speed the gang cannot use.
+// speedMisfit is that of the unit or, within a range of speeds, how much of the candidate's speed the gang cannot use.
 func (t *trial) speedMisfit(cand *candidate) float64 {
 	if t.speeds == (speedRange{}) {
-		return t.pass.speedMisfit(t.unit, cand)
+		return t.unit.speedMisfit(cand)
 	}
 	return speedPenalty * mixPenalty * excessSpeed(cand.speed, t.speeds.low)
 }
 
-// gangMisfit returns how badly the speeds suit the members of the unit, in accelerators.
-func (ps *pass) gangMisfit(u unit, slowest float64, members int, excess float64) float64 {
-	unsuited := slowest/ps.minSpeed - 1
+// gangMisfit returns how badly the speeds suit the members of the unit, in accelerators, given the range of those of the
+// fleet.
+func (u unit) gangMisfit(fleet speedRange, slowest float64, members int, excess float64) float64 {
+	unsuited := slowest/fleet.low - 1
 	if u.rank <= rankUrgent {
-		unsuited = ps.maxSpeed/slowest - 1
+		unsuited = fleet.high/slowest - 1
 	}
 	return speedPenalty * (float64(members)*unsuited + mixPenalty*excess)
 }
@@ -72,7 +90,8 @@
 // least, in accelerators. The range is that of all speeds if the candidates do not differ or have no room, and for gangs
 // for which the risk of a crash or the place of the data comes first.
 func (ps *pass) suitableSpeeds(u unit, count int, candidates []*candidate) (speedRange, float64) {
-	if s := u.stage; ps.isEven() || !s.step.Gang || s.suspects > 0 || s.step.DataRack != "" {
+	fleet := ps.speedsFor(u)
+	if s := u.stage; !s.step.Gang || fleet.isEven() || s.suspects > 0 || s.step.DataRack != "" {
 		return speedRange{}, 0
 	}
 	rooms := ps.roomsBySpeed(u, count, candidates)
@@ -92,7 +111,7 @@
 		if placed < count {
 			break
 		}
-		if m := ps.gangMisfit(u, slowest.speed, count, excess); best.high == 0 || m < leastMisfit {
+		if m := u.gangMisfit(fleet, slowest.speed, count, excess); best.high == 0 || m < leastMisfit {
 			best, leastMisfit = speedRange{low: slowest.speed, high: high}, m
 		}
 	}
@@ -128,7 +147,8 @@
 
 // finish replaces the misfits of the members' speeds by that of the gang.
 func (t *trial) finish() *packing {
-	if !t.unit.stage.step.Gang || t.pass.isEven() || len(t.candidates) == 0 {
+	fleet := t.pass.speedsFor(t.unit)
+	if !t.unit.stage.step.Gang || fleet.isEven() || len(t.candidates) == 0 {
 		return &t.packing
 	}
 	slowest := t.candidates[0].speed
@@ -140,6 +160,6 @@
 		t.misfit -= t.speedMisfit(cand)
 		excess += excessSpeed(cand.speed, slowest)
 	}
-	t.misfit += t.pass.gangMisfit(t.unit, slowest, len(t.candidates), excess)
+	t.misfit += t.unit.gangMisfit(fleet, slowest, len(t.candidates), excess)
 	return &t.packing
 }
--- a/arranger/gangspeed_test.go
+++ b/arranger/gangspeed_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// The speeds of another service's workers would make its unrated workers look better, or its searches longer.
+func TestTheSpeedsOfAnotherServiceDoNotCount(t *testing.T) {
+	h := newHarness(t, 1, 3)
+	for i, steps := range []int{-5, 0, 5} {
+		info := h.sortedWorkers[i].Worker
+		info.ID, info.Service = "other-"+info.ID, "other"
+		h.SetWorker(h.now, info)
+		h.HandleReport(h.now, Report{Worker: info.ID, RequestedAt: h.now})
+		h.RestoreSpeed(info.ID, Rating{Steps: steps, Error: 0.05})
+	}
+	h.RestoreSpeed("w0-0", Rating{Error: 0.05})
+	h.AddJob(h.now, jobOf("job", 2, single(1, 4)), Progress{}, false)
+	if starts := h.planAfter(time.Second).Starts; len(starts) != 1 || starts[0].Worker != "w0-0" {
+		t.Errorf("got starts %+v, want one on the first of the equal workers", starts)
+	}
+	for service, even := range map[string]bool{"tabulator": true, "other": false} {
+		if r := h.newPass(h.now, nil).speeds[service]; r.isEven() != even {
+			t.Errorf("speeds of %s from %.2f to %.2f, even: %t", service, r.low, r.high, r.isEven())
+		}
+	}
+}
--- a/arranger/pace.go
+++ b/arranger/pace.go
@@ -13,6 +13,8 @@
 	minPaceGain = 5
 	// roundingError is the standard deviation, in percent, of the difference of two rounded percentages.
 	roundingError = 0.41
+	// reportJitter is the typical difference between the delays of two reports.
+	reportJitter = 50 * time.Millisecond
 	// endDelay is the typical error of a run time that is measured up to the report of the end; workers report about
 	// once a second.
 	endDelay = 300 * time.Millisecond
@@ -31,8 +33,8 @@
 	since   time.Time
 	percent int
 	current float64
-	// gain is the progress in percent from which the current pace was computed.
-	gain int
+	// logError is the standard error of its natural logarithm.
+	logError float64
 }
 
 // record updates the pace from the run's reported progress and reports whether there is a new value.
@@ -45,8 +47,9 @@
 	if elapsed < paceWindow || percent-p.percent < minPaceGain || percent >= wholePercent {
 		return false
 	}
-	p.gain = percent - p.percent
-	p.current = float64(p.gain) / elapsed.Seconds()
+	gain := float64(percent - p.percent)
+	p.current = gain / elapsed.Seconds()
+	p.logError = math.Hypot(roundingError/gain, reportJitter.Seconds()/elapsed.Seconds())
 	p.since, p.percent = now, percent
 	return true
 }
@@ -240,7 +243,7 @@
 // observePace records the pace of a run from its progress.
 func (a *Arranger) observePace(now time.Time, p *place) {
 	if p.state == placeRunning && p.pace.record(now, p.percent) && p.showsSpeed() {
-		a.speeds.observe(now, p, p.pace.current*a.slowdown(p), roundingError/float64(p.pace.gain))
+		a.speeds.observe(now, p, p.pace.current*a.slowdown(p), p.pace.logError)
 	}
 }
 
--- a/arranger/shape.go
+++ b/arranger/shape.go
@@ -5,11 +5,11 @@
 const (
 	// gangNoise and taskNoise are the standard deviations of the logarithm of the work of the runs of a group, while
 	// they are not known; minNoise is the least. Members of a gang have equal work.
-	gangNoise = 0.04
+	gangNoise = 0.05
 	taskNoise = 0.3
 	minNoise  = 0.03
 	// minNoisePairs is the number of pairs of runs of a step on one worker from which the noise is known.
-	minNoisePairs = 8
+	minNoisePairs = 6
 	// minShapeGroups is the number of groups from which the work of a shape is known, minWorkSpread the least standard
 	// deviation of its logarithm.
 	minShapeGroups = 5
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -28,8 +27,9 @@
 type candidate struct {
 	worker *worker
 	rack   *rackCapacity
-	// speed is the worker's rated speed.
-	speed float64
+	// speed is the worker's rated speed, fleetSpeeds the range of those of its service.
+	speed       float64
+	fleetSpeeds *speedRange
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
 	// stopped.
 	free, freeAfterStops Resources
@@ -96,8 +96,8 @@
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangLoss caches the core-seconds lost by stopping a gang.
 	gangLoss map[*stage]float64
-	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates.
-	minSpeed, maxSpeed float64
+	// speeds are the ranges of the speeds of the candidates by service.
+	speeds map[string]*speedRange
 	// rooms is a buffer of roomsBySpeed.
 	rooms []roomAtSpeed
 	// trials is the number of trials so far.
@@ -115,7 +115,7 @@
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
 		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangLoss: map[*stage]float64{},
-		minSpeed: math.Inf(1),
+		speeds: map[string]*speedRange{},
 	}
 	a.speeds.update(now, a.sortedWorkers)
 	a.limitQuarantine(now)
@@ -134,7 +134,7 @@
 		w.candidate = cand
 		ps.accelerators += w.Capacity.Accelerators
 		ps.free += max(0, cand.free.Accelerators)
-		ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
+		ps.addSpeed(cand)
 		ps.candidates = append(ps.candidates, cand)
 		ps.addToRack(cand)
 	}
