--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -82,7 +82,7 @@
 	}
 	options.RemoteFactor = max(1, options.RemoteFactor)
 	options.ColdOverage = max(1, options.ColdOverage)
-	return &Arranger{
+	a := &Arranger{
 		options:        options,
 		jobs:           map[string]*job{},
 		workers:        map[string]*worker{},
@@ -95,6 +95,8 @@
 
 		inheritedCrashes: map[string]Trial{},
 	}
+	a.speeds.onChange = a.recordSpeedChange
+	return a
 }
 
 // SetGuarantees sets the number of accelerators guaranteed to the urgent jobs of each organisation.
--- a/arranger/runtimes_test.go
+++ b/arranger/runtimes_test.go
@@ -48,7 +48,7 @@
 	speeds := []float64{0.6209, 1, 1.6105}
 	h := newHarness(t, 1, 3)
 	for i, steps := range []int{-5, 0, 5} {
-		h.RestoreSpeed(fmt.Sprintf("w0-%d", i), steps)
+		h.RestoreSpeed(fmt.Sprintf("w0-%d", i), Rating{Steps: steps, Error: 0.1})
 	}
 	step := single(39, 1)
 	step.Estimate = 19 * work / 10
@@ -95,8 +95,8 @@
 // member, or includes the delay by several racks.
 func TestAGangCountsOnceByItsSlowestMember(t *testing.T) {
 	h := newHarness(t, 2, 1)
-	h.RestoreSpeed("w0-0", 5)
-	h.RestoreSpeed("w1-0", -5)
+	h.RestoreSpeed("w0-0", Rating{Steps: 5, Error: 0.1})
+	h.RestoreSpeed("w1-0", Rating{Steps: -5, Error: 0.1})
 	for i := range 6 {
 		j := jobOf(fmt.Sprintf("gang-%d", i), 1, gang(2, 8))
 		j.Accepted, j.Steps[0].Estimate = h.now, 0
@@ -138,7 +138,7 @@
 // known, but their progress tells their work.
 func TestAdoptedRunsCountByTheirPace(t *testing.T) {
 	h := newHarness(t, 1, 1)
-	h.RestoreSpeed("w0-0", 0)
+	h.RestoreSpeed("w0-0", Rating{Error: 0.1})
 	step := single(10, 1)
 	step.Estimate = 19 * time.Second
 	h.AddJob(h.now, jobOf("job", 2, step), Progress{Workers: []string{"w0-0"}}, true)
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -28,8 +27,9 @@
 type candidate struct {
 	worker *worker
 	rack   *rackCapacity
-	// speed is the worker's rated speed, or that of a cold one.
-	speed float64
+	// speed is the worker's rated speed, or that of a cold one; fleetSpeeds is the range of those of its service.
+	speed       float64
+	fleetSpeeds *speedRange
 	// startsLeft is the number of tasks that may still be started on the worker if it is cold.
 	startsLeft int
 	// free is the capacity that is neither in use nor claimed; freeAfterStops adds the runs that are being
@@ -101,8 +101,10 @@
 	tasksThatFit map[emptyCapacityKey]emptyCapacity
 	// gangRemovals caches what is lost if a gang makes room for other work.
 	gangRemovals map[*stage]removal
-	// minSpeed and maxSpeed are the lowest and the highest speed of the candidates that may start tasks.
-	minSpeed, maxSpeed float64
+	// speeds are the ranges of the speeds of the candidates by service.
+	speeds map[string]*speedRange
+	// rooms is a buffer of roomsBySpeed.
+	rooms []roomAtSpeed
 	// trials is the number of trials so far.
 	trials int
 	// acceptsSuspects means that the unit being placed has to make do with workers that it would avoid; avoided means
@@ -118,9 +120,9 @@
 	ps := &pass{
 		arranger: a, now: now, ranks: ranks, rackByName: map[string]*rackCapacity{},
 		unplaceable: map[unitClass]unplaceable{}, tasksThatFit: map[emptyCapacityKey]emptyCapacity{}, gangRemovals: map[*stage]removal{},
-		minSpeed: math.Inf(1),
+		speeds: map[string]*speedRange{},
 	}
-	a.speeds.update(now)
+	a.speeds.update(now, a.sortedWorkers)
 	a.limitQuarantine(now)
 	avoidsUnanswered := a.avoidsUnanswered(now)
 	all := make([]candidate, len(a.sortedWorkers))
@@ -144,8 +146,8 @@
 		ps.accelerators += w.Capacity.Accelerators
 		if cand.startsLeft > 0 {
 			ps.free += max(0, cand.free.Accelerators)
-			ps.minSpeed, ps.maxSpeed = min(ps.minSpeed, cand.speed), max(ps.maxSpeed, cand.speed)
 		}
+		ps.addSpeed(cand)
 		ps.candidates = append(ps.candidates, cand)
 		ps.addToRack(cand)
 	}
@@ -333,7 +335,15 @@
 		if rack.accelerators < need || !preempt && rack.free < need {
 			continue
 		}
-		p := ps.pack(u, tasks, rack.candidates, preempt)
+		var speeds speedRange
+		if !preempt {
+			var misfit float64
+			speeds, misfit = ps.suitableSpeeds(u, len(tasks), rack.candidates)
+			if best != nil && best.lostWork <= 0 && rackPenalty*float64(i*len(tasks))+misfit >= best.misfit {
+				continue
+			}
+		}
+		p := ps.pack(u, tasks, rack.candidates, preempt, speeds)
 		if p != nil && (best == nil || cmp.Or(cmp.Compare(p.lostWork, best.lostWork), cmp.Compare(p.misfit, best.misfit)) < 0) {
 			best = p
 		}
