arranger: Keep the rating of a worker with few runs

The weight of an observation faded by time alone, so that a worker with a run each 20 s had one that counted, and a change of its speed was not found. An observation now fades by time or by the number of later runs, whichever leaves more, and the rating of a previous owner is given up for good once there are twelve runs.

--- a/arranger/pace.go
+++ b/arranger/pace.go
@@ -20,10 +20,11 @@
 	endDelay = 300 * time.Millisecond
 	// maxObservations is the number of runs of a worker that count for its rating.
 	maxObservations = 24
-	// fadeTime is the time in which the weight of an observation halves and fadePeriod that after which it does not count,
-	// both up to the latest observation of the worker: an idle worker keeps its rating.
-	fadeTime   = 10 * time.Second
-	fadePeriod = 3 * fadeTime
+	// fadeTime and fadeRuns are the time before the latest observation of the worker and the number of later runs in which
+	// the weight of an observation halves; it fades no faster than by either. A busy worker has several runs in a moment,
+	// and one with few runs keeps those.
+	fadeTime = 10 * time.Second
+	fadeRuns = 4
 	// ratingPeriod is how long the observations of an idle worker are kept; its rating stays as a memory.
 	ratingPeriod = 5 * time.Minute
 )
@@ -224,19 +225,15 @@
 	if now.Sub(r.observedAt) >= ratingPeriod {
 		r.remember(r.logSpeed, r.err)
 		r.discard(len(r.observations))
-		return
-	}
-	count := 0
-	for count < len(r.observations) && r.observedAt.Sub(r.observations[count].observedAt) >= fadePeriod {
-		count++
 	}
-	r.discard(count)
 }
 
 // weigh sets the weights of the worker's observations.
 func (r *speedRating) weigh() {
-	for _, o := range r.observations {
-		o.weight = math.Exp2(-r.observedAt.Sub(o.observedAt).Seconds() / fadeTime.Seconds())
+	for i, o := range r.observations {
+		age := r.observedAt.Sub(o.observedAt).Seconds() / fadeTime.Seconds()
+		later := float64(len(r.observations)-1-i) / fadeRuns
+		o.weight = math.Exp2(-min(age, later))
 	}
 }
 
--- a/arranger/speed.go
+++ b/arranger/speed.go
@@ -154,7 +154,10 @@
 			if r.update != s.updates {
 				r.update = s.updates
 				r.precision, r.weighted = 1/s.spreadOf(m.worker.Service), 0
-				if len(r.observations) < memoryRuns {
+				if len(r.observations) >= memoryRuns {
+					r.memory = estimate{}
+				}
+				if r.memory.precision > 0 {
 					r.precision += r.memory.precision
 					r.weighted += r.memory.precision * r.memory.value
 				}
--- a/arranger/speed_test.go
+++ b/arranger/speed_test.go
@@ -168,6 +168,31 @@
 	}
 }
 
+// A worker with a run now and then would lose its rating between them if observations faded by time alone.
+func TestAWorkerWithFewRunsKeepsItsRating(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8)) //nolint:gosec // Tests need repeatable numbers.
+	speeds := []float64{0.6, 0.6, 0.6, 0.6, 1, 1, 1, 1, 1.6, 1.6, 1.6, 1.6}
+	workers := make([]*worker, len(speeds))
+	for i := range workers {
+		workers[i] = &worker{}
+	}
+	var s speedRatings
+	now := start
+	for round := range 12 {
+		now = now.Add(20 * time.Second)
+		st := &stage{job: &job{Job: Job{ID: fmt.Sprint(round)}}, step: single(len(speeds), 1)}
+		for i, w := range workers {
+			s.observe(now, &place{task: &task{stage: st}, worker: w}, 12*speeds[i]*math.Exp(0.2*random.NormFloat64()), 0)
+		}
+		s.update(now, workers)
+	}
+	for i, w := range workers {
+		if ratio := w.speed() / speeds[i]; !w.rating.rated() || ratio > misratedRatio || ratio < 1/misratedRatio {
+			t.Errorf("worker of speed %.1f is rated %.2f, error %.2f", speeds[i], w.speed(), w.rating.err)
+		}
+	}
+}
+
 func TestAMomentWithoutProgressGivesNoPace(t *testing.T) {
 	var p pace
 	for i, tt := range []struct {
