director: Name a successor before the lease is released

In a rolling restart of two VMs every 2 s, a released lease went to whichever VM polled first, often one that was restarted next. Entry records now hold when the process started by the store's clock, its cores and whether it shuts down. An owner that gets the signal to shut down goes on planning, reads these records, writes the name of the VM that started last into its lease, and releases the lease 0.7 s later. The named VM polls every 20 ms meanwhile and reads the state while it acquires the lease; others wait 0.3 s longer.

Before, plans ended with the signal, and a write in progress was cut off, so that the release had to resolve its outcome first; a release that failed once was not repeated. While the store does not respond, the owner now keeps the lease for up to half of the grace period. An acquisition in progress at the signal is awaited and released.

Ruled out: a long poll of the lease by all VMs, which each renewal would end, and faster polls by all of them.

--- a/director/director.go
+++ b/director/director.go
@@ -111,7 +111,7 @@
 
 // takeoverDelay returns how much longer than larger VMs this VM waits before it acquires the lease.
 func (d *Director) takeoverDelay() time.Duration {
-	if d.Cores > 0 && d.Cores < smallVMCores {
+	if isSmall(d.Cores) {
 		return smallVMDelay
 	}
 	return 0
@@ -126,6 +126,10 @@
 	takeoverDelay time.Duration
 	// firstStoreVersion is the version of the store at the first poll of this process.
 	firstStoreVersion int64
+	// named means that the lease named this VM as the successor at the last poll.
+	named bool
+	// freeAt is when a released lease may be acquired, or 0 for one that is held.
+	freeAt time.Duration
 }
 
 // canAcquire evaluates a poll of the lease and reports whether the lease is free: never acquired, released, held by an earlier process of this VM, or not renewed within the lease timeout.
@@ -139,9 +143,19 @@
 		m.unchangedSince = now
 	}
 	m.polledAt = now
+	m.named = lease.Successor != "" && lease.Successor == node
+	m.freeAt = 0
 	unchangedFor := now - m.unchangedSince
 	if row.Version == 0 || lease.Released {
-		return unchangedFor >= m.takeoverDelay
+		delay := m.takeoverDelay
+		switch {
+		case m.named:
+			delay = 0
+		case lease.Successor != "":
+			delay += successorHeadStart
+		}
+		m.freeAt = m.unchangedSince + delay
+		return now >= m.freeAt
 	}
 	return lease.Node == node || unchangedFor >= leaseTimeout+m.takeoverDelay
 }
@@ -161,6 +175,12 @@
 
 // pollDelay returns the time until the next poll, given a random number from 0 to 1.
 func (m *leaseMonitor) pollDelay(now time.Duration, random float64) time.Duration {
+	if m.named {
+		return successorPollInterval
+	}
+	if m.freeAt > now {
+		return min(m.freeAt-now, fastLeasePollInterval)
+	}
 	if now-m.unchangedSince > 2*renewalInterval {
 		return fastLeasePollInterval
 	}
@@ -176,11 +196,19 @@
 	lease := registrar.Lease{
 		Node: d.Node, Incarnation: d.Incarnation, Epoch: nextEpoch(previous.Epoch),
 		WorkersRecorded: row.Version == 0 || previous.WorkersRecorded, LeasesLimited: true,
+		// An owner that is lost before its first renewal passes on when the one before it was.
+		RenewedMillis: previous.RenewedMillis,
 	}
 	renewed := row
 	renewed.Value = registrar.Encode(lease)
-	result, err := d.Store.Transact(ctx, platform.Transaction{Expect: []platform.Row{row}, Put: []platform.Row{renewed}})
+	reading, stopReading := context.WithCancel(ctx)
+	defer stopReading()
+	read := d.startPrefetch(reading, previous)
+	// A process that shuts down awaits the response, since it has to release a lease that it has acquired.
+	result, err := d.Store.Transact(context.WithoutCancel(ctx), platform.Transaction{Expect: []platform.Row{row}, Put: []platform.Row{renewed}})
 	if err != nil {
+		stopReading()
+		read.await()
 		if !errors.Is(err, platform.ErrConflict) {
 			d.Logger.Warn("lease not acquired", "epoch", lease.Epoch, "error", err.Error())
 		}
@@ -192,6 +220,9 @@
 		t.inheritedVersion = inheritedVersion
 	}
 	t.restartedOwner, t.firstOwner, t.previous = d.isPreviousProcess(previous), previous.Epoch == 0, previous
+	t.prefetch = read
+	t.writer.noteStoreTime(acquiredAt, result.StoreTime)
+	t.handover = newHandoverCost(d, lease.Epoch, previous, acquiredAt, result.StoreTime)
 	t.run(ctx)
 	return true
 }
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -40,6 +40,8 @@
 	accept *acceptor.Acceptor
 	stop   context.CancelFunc
 	done   chan struct{}
+	// started is when the process started.
+	started time.Time
 }
 
 // runService runs a test against a service in virtual time.
@@ -98,8 +100,8 @@
 	store := &platform.Store{Client: client, Address: storeAddress, Timeout: 1200 * time.Millisecond}
 	log := slog.New(slog.DiscardHandler)
 	config := &follower.Follower{Store: store, Logger: log}
-	e := &entry{name: name, accept: acceptor.New(store, config, log), stop: cancel, done: make(chan struct{})}
 	began := time.Now()
+	e := &entry{name: name, accept: acceptor.New(store, config, log), stop: cancel, done: make(chan struct{}), started: began}
 	d := &director.Director{
 		Node: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
--- a/director/load.go
+++ b/director/load.go
@@ -20,11 +20,11 @@
 
 // load reads all jobs, their recorded progress and the fleet, and repeats this until it succeeds; it returns false if the context ends first.
 func (t *term) load(ctx context.Context) (feedVersions, bool) {
-	var state storedState
+	state := t.prefetch.await()
 	for ctx.Err() == nil {
-		err := t.read(ctx, &state)
+		err := t.readState(ctx, state)
 		if err == nil {
-			return t.restore(&state), true
+			return t.restore(state), true
 		}
 		t.Logger.Warn("state not loaded", "readsLeft", state.missing(), "error", err.Error())
 		sleeper.Sleep(ctx, loadRetryDelay)
@@ -67,9 +67,40 @@
 	return missing
 }
 
-// read reads the ranges that are missing. What was read before stays valid: only this owner writes the progress and
+// prefetch reads the stored state while the lease is being acquired, which saves the named successor of an owner one response of the store. That is safe
+// only after a release: each later write of the previous owner changes the lease row, so that the lease could not be acquired.
+type prefetch struct {
+	state storedState
+	done  chan struct{}
+}
+
+// startPrefetch starts to read the state if the released lease names this VM; the context ends the reads.
+func (d *Director) startPrefetch(ctx context.Context, previous registrar.Lease) *prefetch {
+	if !previous.Released || previous.Successor != d.Node {
+		return nil
+	}
+	p := &prefetch{done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		if err := d.readState(ctx, &p.state); err != nil && ctx.Err() == nil {
+			d.Logger.Warn("state not read ahead", "readsLeft", p.state.missing(), "error", err.Error())
+		}
+	}()
+	return p
+}
+
+// await returns what was read, which may be incomplete; a nil prefetch has read nothing.
+func (p *prefetch) await() *storedState {
+	if p == nil {
+		return &storedState{}
+	}
+	<-p.done
+	return &p.state
+}
+
+// readState reads the ranges that are missing. What was read before stays valid: only this owner writes the progress and
 // the known workers, and later changes of the other tables come with their feeds.
-func (t *term) read(ctx context.Context, state *storedState) error {
+func (d *Director) readState(ctx context.Context, state *storedState) error {
 	if state.jobs == nil {
 		from, to := registrar.WorkerKeys()
 		state.progress = pageRead{table: registrar.ProgressTable, partition: registrar.OwnerPartition}
@@ -85,7 +116,7 @@
 			continue
 		}
 		reads = append(reads, func() error {
-			page, err := t.Store.Range(ctx, r.table, r.partition, r.from, r.to)
+			page, err := d.Store.Range(ctx, r.table, r.partition, r.from, r.to)
 			if err == nil {
 				r.page, r.done = page, true
 			}
--- a/director/term.go
+++ b/director/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipelift/snipelift/acceptor"
@@ -46,6 +47,14 @@
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
 	planRequested chan struct{}
+	// closing is closed when an owner that shuts down ends its writes, writesEnded when the write loop has ended.
+	closing, writesEnded chan struct{}
+	// announcement is the successor of an owner that shuts down, nil before one is chosen.
+	announcement atomic.Pointer[announcement]
+	// prefetch reads the stored state while the lease is acquired; nil if it is read afterwards only.
+	prefetch *prefetch
+	// handover measures the time without plans before this term; only the plan loop uses it after the start.
+	handover handoverCost
 
 	mu       sync.Mutex
 	arranger *arranger.Arranger
@@ -99,7 +108,7 @@
 func newTerm(d *Director, lease registrar.Lease, version int64, acquiredAt time.Duration) *term {
 	t := &term{
 		Director: d, lease: lease, inheritedVersion: version, acquiredAt: acquiredAt,
-		planRequested: make(chan struct{}, 1), sessions: map[string]*session{}, lives: map[string]life{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
+		planRequested: make(chan struct{}, 1), closing: make(chan struct{}), writesEnded: make(chan struct{}), handover: handoverCost{done: true}, sessions: map[string]*session{}, lives: map[string]life{}, uncleared: map[string]bool{}, listed: map[string]platform.Worker{}, records: map[string]jobRecord{},
 		unsent: map[string][]unsentStart{}, recorded: map[string]recordedWorkers{}, heldForForm: map[string]bool{}, formCheck: make(chan struct{}, 1),
 	}
 	t.arranger = arranger.New(arranger.Options{
@@ -110,13 +119,16 @@
 	return t
 }
 
-// run acts as the owner until the lease is lost or the context ends.
+// run acts as the owner until the lease is lost or the parent context ends; then it hands the lease over.
 func (t *term) run(parent context.Context) {
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	t.baseCtx, t.cancel = ctx, cancel
 	defer cancel()
 	t.spawn(func() { t.writeLoop(ctx) })
-	versions, ok := t.load(ctx)
+	loading, stopLoading := context.WithCancel(ctx)
+	defer stopLoading()
+	defer context.AfterFunc(parent, stopLoading)()
+	versions, ok := t.load(loading)
 	if ok {
 		t.spawn(func() { t.followJobs(ctx, versions.jobs) })
 		t.spawn(func() { t.followWorkers(ctx, versions.workers) })
@@ -124,14 +136,41 @@
 		t.spawn(func() { t.cleanLoop(ctx) })
 		t.spawn(func() { t.checkFormLoop(ctx) })
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-parent.Done():
+		t.Logger.Info("owner shutting down", "epoch", t.lease.Epoch)
+		if ok {
+			t.handOver(ctx)
+		} else {
+			t.nameSuccessor(ctx)
+		}
+		// A write that is cut off has an unknown outcome, which the release would have to resolve first.
+		close(t.closing)
+		select {
+		case <-t.writesEnded:
+		case <-time.After(lastWriteTimeout):
+		}
+	}
+	lost := ctx.Err() != nil
+	cancel()
 	t.goroutines.Wait()
-	if parent.Err() != nil {
+	if !lost {
 		t.releaseLease()
 	}
 	t.Logger.Info("lease given up", "epoch", t.lease.Epoch)
 }
 
+// isClosing reports whether an owner that shuts down has ended its writes.
+func (t *term) isClosing() bool {
+	select {
+	case <-t.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // spawn runs a function in a goroutine that the term waits for.
 func (t *term) spawn(f func()) {
 	t.goroutines.Add(1)
@@ -337,6 +376,7 @@
 		t.arranger.Plan(time.Now())
 		t.dispatch(ctx)
 		waits, counts := t.arranger.Waits(), t.arranger.Counts()
+		t.noteFirstPlan()
 		t.mu.Unlock()
 		t.setGauges(waits, counts)
 		if took := watch.end(t.now()); t.ObserveDuration != nil {
@@ -345,3 +385,19 @@
 		pause = min(max(planBatchDelay, planPauseFactor*(t.now()-startedAt)), maxPlanInterval)
 	}
 }
+
+// noteFirstPlan reports the cost of the change of owner after the first plan for which a worker has reported; the caller holds the term's mutex.
+func (t *term) noteFirstPlan() {
+	if t.handover.done {
+		return
+	}
+	reported := 0
+	for _, s := range t.sessions {
+		if s.responded {
+			reported++
+		}
+	}
+	if cost, first := t.handover.firstPlan(t.now(), reported, len(t.sessions)); first && t.SetGauge != nil {
+		t.SetGauge("owner.handover.millis", cost.Milliseconds())
+	}
+}
--- a/director/writer.go
+++ b/director/writer.go
@@ -37,6 +37,8 @@
 	// leaseVersion is the version of the lease row, lastRenewal the monotonic time at which the last confirmed write was sent.
 	leaseVersion int64
 	lastRenewal  atomic.Int64
+	// storeTime is the reading of the store's steady clock in the last response that had one, to a write that was sent at storeTimeAt; only the goroutine that writes uses them.
+	storeTime, storeTimeAt time.Duration
 
 	mu sync.Mutex
 	// lastChange numbers the changes.
@@ -75,6 +77,21 @@
 // renewedAt returns when the last confirmed write was sent.
 func (w *writer) renewedAt() time.Duration { return time.Duration(w.lastRenewal.Load()) }
 
+// noteStoreTime records the reading of the store's steady clock in the response to a write.
+func (w *writer) noteStoreTime(sentAt, storeTime time.Duration) {
+	if storeTime != 0 {
+		w.storeTime, w.storeTimeAt = storeTime, sentAt
+	}
+}
+
+// storeClock estimates the store's steady clock, or returns 0 if no response has shown it.
+func (w *writer) storeClock(now time.Duration) time.Duration {
+	if w.storeTime == 0 {
+		return 0
+	}
+	return w.storeTime + now - w.storeTimeAt
+}
+
 // signal wakes the write loop.
 func (w *writer) signal() {
 	select {
@@ -159,19 +176,22 @@
 	return true
 }
 
-// writeLoop writes changes and renews the lease until the context ends or the lease is lost.
+// writeLoop writes changes and renews the lease until the context ends, the lease is lost or the term closes.
 func (t *term) writeLoop(ctx context.Context) {
+	defer close(t.writesEnded)
 	timer := time.NewTimer(renewalInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.closing:
+			return
 		case <-t.writer.wakeup:
 			sleeper.Sleep(ctx, writeBatchDelay)
 		case <-timer.C:
 		}
-		for t.writeOnce(ctx) && ctx.Err() == nil {
+		for t.writeOnce(ctx) && ctx.Err() == nil && !t.isClosing() {
 			continue
 		}
 		timer.Reset(renewalInterval)
@@ -182,7 +202,7 @@
 func (t *term) writeOnce(ctx context.Context) bool {
 	b := t.nextBatch()
 	sent := t.now()
-	if len(b.puts) == 0 && len(b.removes) == 0 && sent-t.writer.renewedAt() < renewalInterval/2 {
+	if len(b.puts) == 0 && len(b.removes) == 0 && sent-t.writer.renewedAt() < renewalInterval/2 && t.announcement.Load().isWritten() {
 		t.confirmBatch(b)
 		return false
 	}
@@ -191,6 +211,7 @@
 	case err == nil:
 		t.lease.WorkersRecorded = t.lease.WorkersRecorded || b.workersRecorded
 		t.writer.lastRenewal.Store(int64(sent))
+		t.confirmAnnouncement(t.lease.Successor)
 		t.confirmBatch(b)
 		t.mu.Lock()
 		t.recordSilentWorkers(sent, storeTime)
@@ -234,9 +255,14 @@
 	t.lease.Renewal++
 	expected := t.leaseRow()
 	renewed := expected
+	if a := t.announcement.Load(); a != nil {
+		t.lease.Successor = a.successor
+	}
 	lease := t.lease
 	lease.WorkersRecorded = lease.WorkersRecorded || b.workersRecorded
+	lease.RenewedMillis = t.writer.storeClock(t.now()).Milliseconds()
 	renewed.Value = registrar.Encode(lease)
+	sent := t.now()
 	outcome, err := t.Store.Transact(ctx, platform.Transaction{
 		Expect: []platform.Row{expected},
 		Put:    append([]platform.Row{renewed}, b.puts...),
@@ -245,6 +271,7 @@
 	switch {
 	case err == nil:
 		t.writer.leaseVersion = outcome.Version
+		t.writer.noteStoreTime(sent, outcome.StoreTime)
 		return outcome.StoreTime, nil
 	case errors.Is(err, platform.ErrConflict):
 		for _, row := range outcome.Rows {
@@ -482,28 +509,3 @@
 		w.pendingWrittenAt = 0
 	}
 }
-
-// releaseTimeout bounds the last writes of an owner that shuts down.
-const releaseTimeout = 800 * time.Millisecond
-
-// releaseLease writes the remaining changes and releases the lease, so that another VM can acquire it at once.
-func (t *term) releaseLease() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	t.lease.Released = true
-	for range 3 {
-		b := t.nextBatch()
-		_, err := t.writeBatch(ctx, b)
-		if err == nil && b.complete {
-			t.Logger.Info("lease released", "epoch", t.lease.Epoch)
-			return
-		}
-		if err != nil && !errors.Is(err, errBatchNotWritten) {
-			t.Logger.Warn("lease not released", "epoch", t.lease.Epoch, "error", err.Error())
-			return
-		}
-		if err != nil {
-			t.requeueBatch(b)
-		}
-	}
-}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -51,6 +51,10 @@
 	// Reload receives a value when the settings may have changed; it may be nil.
 	Reload <-chan struct{}
 
+	// startedAt is when the process started, and startedMillis the same by the store's clock, once that is known; only maintainPeers uses the latter.
+	startedAt     time.Time
+	startedMillis int64
+
 	draining atomic.Bool
 	store    *platform.Store
 	relay    *relayer.Relayer
@@ -60,6 +64,7 @@
 
 // Run serves until the context is done, then drains within the grace period.
 func (p *Process) Run(ctx context.Context) error {
+	p.startedAt = time.Now()
 	client, closeClient := platform.NewHTTPClient(idleConnections(p.Settings.MaxOpenFiles))
 	defer closeClient()
 	metrics := newMetrics()
--- a/hoster/peers_test.go
+++ b/hoster/peers_test.go
@@ -43,7 +43,7 @@
 	board := faker.NewHTTPNetwork()
 	board.Handle("store:1", store)
 	p := &Process{
-		Logger: slog.New(slog.DiscardHandler), Settings: platform.Settings{Node: "self", PeerAddress: "self:1"},
+		Logger: slog.New(slog.DiscardHandler), Settings: platform.Settings{Node: "self", PeerAddress: "self:1", Cores: 0.8}, startedAt: time.Now(),
 		store: &platform.Store{Client: board.Client("self"), Address: "store:1", Timeout: time.Second}, relay: &relayer.Relayer{},
 	}
 	for i := range others {
@@ -60,10 +60,11 @@
 	for _, test := range []struct{ others, want int }{{0, 0}, {8, 8}, {31, 31}, {32, 32}, {300, 32}, {3000, 32}} {
 		p, _ := newProcess(t, test.others, 0)
 		for _, from := range []string{registrar.EntryKeyPrefix(0), registrar.EntryKeyPrefix(1 << 31), registrar.EntryKeyPrefix(1<<32 - 1)} {
-			rows, err := p.sampleEntries(t.Context(), from)
+			page, err := p.sampleEntries(t.Context(), from)
 			if err != nil {
 				t.Fatal(err)
 			}
+			rows := page.Rows
 			slices.SortFunc(rows, func(x, y platform.Row) int { return strings.Compare(x.Key, y.Key) })
 			if distinct := len(slices.CompactFunc(rows, func(x, y platform.Row) bool { return x.Key == y.Key })); distinct != test.want {
 				t.Errorf("read %d different records of %d starting at %s, want %d", distinct, test.others, from, test.want)
@@ -86,3 +87,35 @@
 		}
 	}
 }
+
+// An owner that shuts down chooses its successor by these records; without the state of a VM that shuts down it would name that one.
+func TestTheRecordTellsStartAndShutdown(t *testing.T) {
+	p, store := newProcess(t, 2, 0)
+	// The clock of the fake store starts with it.
+	time.Sleep(5 * time.Millisecond)
+	p.startedAt = time.Now()
+	read := func() registrar.Entry {
+		entry, err := registrar.Decode[registrar.Entry](platform.Row{Value: store.Rows(registrar.EntryTable, registrar.EntryPartition)[registrar.EntryRow("self").Key]})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return entry
+	}
+	if err := p.refreshPeers(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	started := read()
+	if started.StartedMillis <= 0 || started.Cores != 0.8 || started.Leaving {
+		t.Errorf("after the start: %+v", started)
+	}
+	p.recordLeaving()
+	if left := read(); !left.Leaving || left.StartedMillis != started.StartedMillis {
+		t.Errorf("at shutdown: %+v, started at %d", left, started.StartedMillis)
+	}
+	row := registrar.EntryRow("self")
+	row.Value = registrar.Encode(read())
+	other := &Process{Logger: p.Logger, Settings: platform.Settings{PeerAddress: "other:1"}}
+	if peers := other.peerEndpoints([]platform.Row{row}, time.Now()); len(peers) != 0 {
+		t.Errorf("a VM that shuts down is used as a peer: %v", peers)
+	}
+}
--- a/registrar/rows.go
+++ b/registrar/rows.go
@@ -148,6 +148,10 @@
 	WorkersRecorded bool `json:"workersRecorded,omitempty"`
 	// LeasesLimited means that the leases of workers end soon after the owner's last renewal, however long it goes on without one.
 	LeasesLimited bool `json:"leasesLimited,omitempty"`
+	// Successor is the name of the VM that an owner that shuts down wants to be followed by, first announced and then kept in the released lease; empty if there is none.
+	Successor string `json:"successor,omitempty"`
+	// RenewedMillis is the reading of the store's steady clock at which the owner sent this write, or 0 if that was not known.
+	RenewedMillis int64 `json:"renewedMillis,omitempty"`
 }
 
 // KnownWorker is a worker that an owner may have sent requests to.
@@ -224,6 +228,12 @@
 	SeenMillis int64 `json:"seenMillis"`
 	// ProgressForms is the number of forms of the progress of jobs that the VM can read; earlier versions of the program, which can read one, omit it.
 	ProgressForms int `json:"progressForms,omitempty"`
+	// StartedMillis is the reading of the store's steady clock at which the process started, or 0 if that was not known.
+	StartedMillis int64 `json:"startedMillis,omitempty"`
+	// Cores is the number of cores that the process may use, or 0 if that is not known.
+	Cores float64 `json:"cores,omitempty"`
+	// Leaving means that the process shuts down.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // ProgressForms is the number of forms of the progress of jobs that this version of the program can read.
@@ -234,6 +244,12 @@
 	return platform.Row{Table: EntryTable, Partition: EntryPartition, Key: EntryKeyPrefix(hash(node)) + "-" + node}
 }
 
+// EntryNode returns the name of the VM in the key of its row, or false for any other key.
+func EntryNode(key string) (string, bool) {
+	_, node, ok := strings.Cut(key, "-")
+	return node, ok && EntryRow(node).Key == key
+}
+
 // EntryKeyPrefix formats the hash with which the key of an entry VM starts; a random number gives a key at which to start a sample.
 func EntryKeyPrefix(prefix uint32) string { return fmt.Sprintf("%08x", prefix) }
 
