acceptor: Derive Retry-After from what is known of the outage

Each 503 said 1 s, also in long outages, so that clients returned again and again at once, and in one burst when the store was back. The delay is now half of what an outage is expected to last on (as long as it has lasted), 1 to 5 s, and 1 s from a VM that drains or has just started. Each VM spreads the returns over the coming seconds, up to 10 s, at half of the rate at which it has accepted jobs, and at 16 a second at least. No delay exceeds X-Timeout-Ms or the timeout of the queue.

Ruled out: the whole expected rest of the outage.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -30,8 +30,6 @@
 	storeUnreachableAfter = 1400 * time.Millisecond
 	// refreshTimeout limits the time that a request waits for a newer state of the configuration, as after a pause of the process.
 	refreshTimeout = 500 * time.Millisecond
-	// storeRetryAfter is the retry delay sent to a client when the store is unreachable; another entry VM may reach the store.
-	storeRetryAfter = time.Second
 	// defaultMaxBody is the body size limit in bytes if the configuration sets none.
 	defaultMaxBody = 256 << 10
 )
@@ -51,11 +49,14 @@
 	Draining atomic.Bool
 
 	batchers map[string]*batcher
+	// startedAt is when the process started.
+	startedAt time.Time
+	returns   retrySchedule
 }
 
 // New returns an acceptor with one batcher for each partition of the job table.
 func New(store *platform.Store, config *follower.Follower, logger *slog.Logger) *Acceptor {
-	a := &Acceptor{Store: store, Config: config, Logger: logger, Now: time.Now, batchers: map[string]*batcher{}}
+	a := &Acceptor{Store: store, Config: config, Logger: logger, Now: time.Now, startedAt: time.Now(), batchers: map[string]*batcher{}}
 	for _, partition := range registrar.Partitions() {
 		a.batchers[partition] = &batcher{store: store, logger: logger, partition: partition}
 	}
@@ -68,7 +69,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if a.Config.Current() == nil {
-		a.refuse(w, r, "", http.StatusServiceUnavailable, "no configuration yet", storeRetryAfter)
+		a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: no configuration yet", a.retryAfter(r, platform.Queue{}))
 		return
 	}
 	if !a.confirmed(r, a.ConfigDeadline+a.ConfigStretch) {
@@ -88,7 +89,7 @@
 		return
 	}
 	if sinceResponse := a.Store.SinceLastResponse(); sinceResponse > storeUnreachableAfter {
-		a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: no answer from the store for "+sinceResponse.Truncate(time.Millisecond).String(), storeRetryAfter)
+		a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: no answer from the store for "+sinceResponse.Truncate(time.Millisecond).String(), a.retryAfter(r, target.queue))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), clientTimeout(r)-responseMargin)
@@ -160,7 +161,7 @@
 // refuseUnconfirmed refuses a request because a newer configuration may allow or forbid it.
 func (a *Acceptor) refuseUnconfirmed(w http.ResponseWriter, r *http.Request) {
 	age, _ := a.Config.Age()
-	a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: configuration not confirmed for "+age.Truncate(time.Millisecond).String(), storeRetryAfter)
+	a.refuse(w, r, "", http.StatusServiceUnavailable, "not run: configuration not confirmed for "+age.Truncate(time.Millisecond).String(), a.retryAfter(r, platform.Queue{}))
 }
 
 // call is a request to a known queue, with a valid API key unless the queue is public.
@@ -189,6 +190,20 @@
 	return defaultClientTimeout
 }
 
+// retryAfter returns when the client of a refused request should return, given its queue if that is known.
+func (a *Acceptor) retryAfter(r *http.Request, queue platform.Queue) time.Duration {
+	now := a.Now()
+	age := now.Sub(a.startedAt)
+	refused := refusal{
+		outage: min(a.Store.SinceLastResponse(), age), elsewhere: a.Draining.Load() || age < justStarted,
+		reads: r.Method == http.MethodGet, patience: platform.ClientTimeout(r),
+	}
+	if queue.Timeout > 0 && (refused.patience == 0 || queue.Timeout < refused.patience) {
+		refused.patience = queue.Timeout
+	}
+	return a.returns.retryAfter(now, refused)
+}
+
 // refuse logs and sends an error response; a retryAfter of zero sends no retry delay.
 func (a *Acceptor) refuse(w http.ResponseWriter, r *http.Request, id string, status int, reason string, retryAfter time.Duration) {
 	var version int64
@@ -236,6 +251,7 @@
 func (a *Acceptor) respondToSubmit(c call, err error) {
 	switch {
 	case err == nil:
+		a.returns.noteAccepted(a.Now())
 		a.Logger.Info("job accepted", "job", c.id, "queue", c.queue.Name, "organisation", c.organisation, "config", c.snapshot.Version)
 		platform.WriteStatus(c.w, http.StatusOK)
 	case errors.Is(err, errIDInUse):
@@ -245,7 +261,7 @@
 	case errors.Is(err, platform.ErrRejected):
 		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, "not run: "+err.Error(), 0)
 	case errors.Is(err, platform.ErrNotExecuted):
-		a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, "not run: "+err.Error(), storeRetryAfter)
+		a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, "not run: "+err.Error(), a.retryAfter(c.r, c.queue))
 	default:
 		a.refuse(c.w, c.r, c.id, http.StatusGatewayTimeout, "outcome unknown: "+err.Error(), 0)
 	}
@@ -338,7 +354,7 @@
 		a.refuse(c.w, c.r, c.id, http.StatusTooManyRequests, err.Error(), full.retryAfter)
 		return
 	}
-	a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, err.Error(), storeRetryAfter)
+	a.refuse(c.w, c.r, c.id, http.StatusServiceUnavailable, err.Error(), a.retryAfter(c.r, c.queue))
 }
 
 func (a *Acceptor) servePending(c call) {
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -74,13 +74,16 @@
 	}
 }
 
-// instrument counts the requests of clients by method and status, and records their latency by method.
+// instrument counts the requests of clients by method and status and those told to return later by the seconds, and records their latency by method.
 func (m *metricSet) instrument(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		began := time.Now()
 		recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
 		next.ServeHTTP(recorder, r)
 		m.count(fmt.Sprintf("client.%s.%d", r.Method, recorder.status))
+		if seconds := recorder.Header().Get("Retry-After"); seconds != "" {
+			m.count("client.retryAfter." + seconds)
+		}
 		m.histogram("client." + r.Method + ".micros").Update(time.Since(began).Microseconds())
 	})
 }
