arranger: Defer work of organisations that use more than their share

Units of one rank and lateness were ordered by their latest starts alone, so that a burst of one large organisation was worked off before the work of small ones that was accepted after it. A unit whose organisation has 1.5, 3 or 6 times its share running or waiting before it is now placed as if it had been accepted half a period from acceptance to deadline later for each of these steps. The share is an equal one of the service among the organisations with work, or the guarantee if that is more; work of later ranks does not count.

Ruled out: levels of use as a class before the latest start, which would let work of an organisation wait for as long as others have any.

TestABurstOfOneOrganisationDoesNotStarveOthers fails without the deferral: 14 of 14 starts go to the burst, now 9 to the small organisations.

--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -51,6 +51,8 @@
 	lateness lateness
 	// latestStart is when the job has to start to meet its deadline.
 	latestStart time.Time
+	// deferral is how much later than by latestStart the unit is placed, since its organisation uses more than its share.
+	deferral time.Duration
 }
 
 // Plan runs a planning pass that places waiting tasks; TakeOrders returns the resulting orders.
@@ -113,7 +115,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(units, compareUnits)
+	a.sortUnits(units, ranks)
 	return units
 }
 
@@ -184,7 +186,7 @@
 		cmp.Compare(boolInt(x.lateness == worthless), boolInt(y.lateness == worthless)),
 		cmp.Compare(x.rank, y.rank),
 		cmp.Compare(x.lateness, y.lateness),
-		x.latestStart.Compare(y.latestStart),
+		x.latestStart.Add(x.deferral).Compare(y.latestStart.Add(y.deferral)),
 		cmp.Compare(x.stage.job.sequence, y.stage.job.sequence),
 	)
 }
