--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -55,6 +55,8 @@
 	// waits describes the stages that wait, as of the latest search for them.
 	waits   Waits
 	waitLog waitLog
+	// fairness describes the units that the latest pass deferred.
+	fairness fairness
 	// onSkip is called for each unit that a pass does not search for; it may be nil.
 	onSkip func(ps *pass, u unit)
 	// counts are those of the events since the arranger was created.
--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -15,6 +15,8 @@
 	ByReason map[string]int
 	// Exclusions are computed only while some stage waits.
 	Exclusions Exclusions
+	// Deferred is the number of stages that the pass placed after others since their organisation uses more than its share.
+	Deferred int
 }
 
 // Exclusions counts the workers that planning passes leave out, each one by the first cause that applies, and the
--- a/arranger/fairness.go
+++ b/arranger/fairness.go
@@ -72,11 +72,11 @@
 // sortUnits puts units into placement order, with those of organisations that use more than their share deferred.
 func (a *Arranger) sortUnits(units []unit, ranks map[*job]rank) {
 	slices.SortStableFunc(units, compareUnits)
+	a.fairness.units = 0
 	if !severalOrganisations(units) {
 		return
 	}
 	uses := a.fairUses(units, ranks)
-	deferred := false
 	for i := range units {
 		u := &units[i]
 		j := u.stage.job
@@ -94,13 +94,39 @@
 		}
 		f.last, f.lastRank, f.lastLateness = u.latestStart.Add(u.deferral), u.rank, u.lateness
 		f.add(u.rank, u.stage.waitingAccelerators())
-		deferred = deferred || u.deferral > 0
+		if u.deferral > 0 {
+			a.fairness.units++
+			a.fairness.organisation, a.fairness.share, a.fairness.deferral = j.Organisation, f.share, u.deferral
+		}
 	}
-	if deferred {
+	if a.fairness.units > 0 {
 		slices.SortStableFunc(units, compareUnits)
 	}
 }
 
+// fairness describes the units that the latest pass deferred, with the organisation of the last one.
+type fairness struct {
+	units        int
+	organisation string
+	share        float64
+	deferral     time.Duration
+	// logged means that the latest line said that units are deferred.
+	logged bool
+}
+
+// logFairness logs when units begin and cease to be deferred.
+func (a *Arranger) logFairness() {
+	f := &a.fairness
+	if deferring := f.units > 0; deferring != f.logged {
+		f.logged = deferring
+		if deferring {
+			a.options.Log("work deferred, its organisation uses more than its share", "units", f.units, "organisation", f.organisation, "share", f.share, "deferral", f.deferral.String())
+		} else {
+			a.options.Log("no work deferred any more")
+		}
+	}
+}
+
 // severalOrganisations reports whether units of more than one organisation wait.
 func severalOrganisations(units []unit) bool {
 	return slices.ContainsFunc(units, func(u unit) bool { return u.stage.job.Organisation != units[0].stage.job.Organisation })
--- a/arranger/fairness_test.go
+++ b/arranger/fairness_test.go
@@ -51,6 +51,9 @@
 		h.addOrganisationJob(fmt.Sprintf("small-%d", i), 0)
 	}
 	got := h.organisationsOf(h.planAfter(0))
+	if h.Waits().Deferred == 0 {
+		t.Error("no deferred work is shown to operators")
+	}
 	for organisation, n := range h.nextEnds() {
 		got[organisation] += n
 	}
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -173,7 +173,8 @@
 	}
 	a.waitLog.checkedAt = now
 	waiting := a.waitingStages(now)
-	a.waits = Waits{Stages: len(waiting), ByReason: map[string]int{}}
+	a.waits = Waits{Stages: len(waiting), ByReason: map[string]int{}, Deferred: a.fairness.units}
+	a.logFairness()
 	if len(waiting) == 0 {
 		return
 	}
--- a/director/planwatch.go
+++ b/director/planwatch.go
@@ -82,6 +82,7 @@
 	}{
 		{"owner.waiting.stages", int64(waits.Stages)},
 		{"owner.waiting.longestMillis", waits.Longest.Milliseconds()},
+		{"owner.waiting.deferred", int64(waits.Deferred)},
 		{"owner.workers.schedulable", int64(e.Schedulable)},
 		{"owner.workers.notReported", int64(e.NotReported)},
 		{"owner.workers.unreachable", int64(e.Unreachable)},
