director: Hand over regularly if the signal comes while the state is loaded

A named VM that got its own signal while it acquired the lease released it at once, with a name but without an announcement. The test also checks that a gang runs through all changes without another start.

--- a/director/handover.go
+++ b/director/handover.go
@@ -31,10 +31,8 @@
 )
 
 // handOver announces a successor, while the owner continues to plan, so that the successor awaits the release. The lease is kept while the store does not
-// respond, since no other VM can acquire it then, until the limit.
+// respond, since no other VM can acquire it then, until the context ends.
 func (t *term) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, t.handoverLimit())
-	defer cancel()
 	sleeper.Sleep(ctx, leavingDelay)
 	announced := ""
 	for ctx.Err() == nil {
@@ -57,18 +55,18 @@
 	}
 }
 
-// nameSuccessor chooses a successor for the release of a lease under which nothing was planned yet, with one read and without an announcement.
-func (t *term) nameSuccessor(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lastWriteTimeout)
-	defer cancel()
-	page, err := t.Store.Range(ctx, registrar.EntryTable, registrar.EntryPartition, "", "")
-	if err != nil {
-		t.Logger.Warn("no successor chosen, records of entry VMs not read", "epoch", t.lease.Epoch, "error", err.Error())
-		return
-	}
-	successor := chooseSuccessor(t.Node, "", page.Rows, time.Now())
-	t.Logger.Info("successor chosen", "epoch", t.lease.Epoch, "successor", successor, "before", "", "records", len(page.Rows))
-	t.announcement.Store(&announcement{successor: successor, written: make(chan struct{})})
+// limitHandover returns a context that ends with the term, or the hand-over limit after the end of the parent context.
+func (t *term) limitHandover(ctx, parent context.Context) context.Context {
+	limited, cancel := context.WithCancel(ctx)
+	t.spawn(func() {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-parent.Done():
+			sleeper.Sleep(ctx, t.handoverLimit())
+		}
+	})
+	return limited
 }
 
 // handoverLimit returns how long an owner that shuts down may go on: half of the grace period, since the listeners close then.
--- a/director/handover_test.go
+++ b/director/handover_test.go
@@ -121,6 +121,8 @@
 					for _, e := range initial {
 						s.recordEntry(e.name, e.started, false)
 					}
+					s.submit(s.entries[0], jobB, faker.TaskJob{Duration: 12 * time.Second, Gang: 2, Accelerators: 8}, 2)
+					s.await(s.entries[0], jobB, "running", time.Second)
 					s.store.SetFaults(test.faults(0))
 					seen := ownership{holder: s.owner().name}
 					// The owner is restarted first, fifth or last, and its first successor last or, in the fourth play, soon after it.
@@ -142,6 +144,10 @@
 					}
 					s.submit(s.entries[len(s.entries)-1], jobA, faker.TaskJob{Duration: time.Second, Accelerators: 1}, 1)
 					s.await(s.entries[len(s.entries)-1], jobA, "succeeded", 3*time.Second)
+					s.await(s.entries[len(s.entries)-1], jobB, "succeeded", 3*time.Second)
+					if got := s.fleet.Starts(jobB); got != 2 {
+						t.Errorf("%d starts, want the two of the gang that all owners took over", got)
+					}
 				})
 			})
 		}
--- a/director/term.go
+++ b/director/term.go
@@ -125,10 +125,9 @@
 	t.baseCtx, t.cancel = ctx, cancel
 	defer cancel()
 	t.spawn(func() { t.writeLoop(ctx) })
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	defer context.AfterFunc(parent, stopLoading)()
-	versions, ok := t.load(loading)
+	// An owner that gets the signal to shut down while it loads the state goes on, since its successor awaits the lease only once that names it.
+	limited := t.limitHandover(ctx, parent)
+	versions, ok := t.load(limited)
 	if ok {
 		t.spawn(func() { t.followJobs(ctx, versions.jobs) })
 		t.spawn(func() { t.followWorkers(ctx, versions.workers) })
@@ -141,9 +140,7 @@
 	case <-parent.Done():
 		t.Logger.Info("owner shutting down", "epoch", t.lease.Epoch)
 		if ok {
-			t.handOver(ctx)
-		} else {
-			t.nameSuccessor(ctx)
+			t.handOver(limited)
 		}
 		// A write that is cut off has an unknown outcome, which the release would have to resolve first.
 		close(t.closing)
