--- a/director/successor_test.go
+++ b/director/successor_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -96,3 +97,31 @@
 		t.Errorf("next poll after another VM took the lease after %s, want %s", got, leasePollInterval)
 	}
 }
+
+// The cost of a change is counted from the release, or the last renewal of a lost owner, by the store's clock, up to a plan that can place something.
+func TestTheCostOfAChangeEndsWithTheFirstUsefulPlan(t *testing.T) {
+	for _, test := range []struct {
+		name                         string
+		renewed, acquired, storeTime time.Duration
+		reported, workers            int
+		want                         time.Duration
+		counts                       bool
+	}{
+		{"released", 90 * time.Second, time.Second, 90040 * time.Millisecond, 1, 4, 50 * time.Millisecond, true},
+		{"lost", 90 * time.Second, time.Second, 91200 * time.Millisecond, 4, 4, 1210 * time.Millisecond, true},
+		{"no workers", 90 * time.Second, time.Second, 90040 * time.Millisecond, 0, 0, 50 * time.Millisecond, true},
+		{"no worker has reported", 90 * time.Second, time.Second, 90040 * time.Millisecond, 0, 4, 0, false},
+		{"owner of the earlier version", 0, time.Second, 90040 * time.Millisecond, 4, 4, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := &Director{Logger: slog.New(slog.DiscardHandler)}
+			cost := newHandoverCost(d, 2048, registrar.Lease{RenewedMillis: test.renewed.Milliseconds()}, test.acquired, test.storeTime)
+			if got, counts := cost.firstPlan(test.acquired+10*time.Millisecond, test.reported, test.workers); got != test.want || counts != test.counts {
+				t.Errorf("got %s, %t, want %s, %t", got, counts, test.want, test.counts)
+			}
+			if _, again := cost.firstPlan(test.acquired+time.Second, 4, 4); again && test.counts {
+				t.Error("counted twice")
+			}
+		})
+	}
+}
