arranger: Order waiting work by its run time on the workers that it gets

Work that is not urgent goes to the slowest workers, so that a latest start by the run time on average ones comes too late.

--- a/arranger/arranger.go
+++ b/arranger/arranger.go
@@ -48,7 +48,8 @@
 	// urgentUsage records the recent use of accelerators by urgent work.
 	urgentUsage usageHistory
 	// runTimes is what was learned of the run times of tasks.
-	runTimes *estimator.Estimator
+	runTimes  *estimator.Estimator
+	slowdowns typicalSlowdowns
 	// speeds rates the speed of the workers.
 	speeds speedRatings
 	// quarantineLimited is the set of services of which more workers failed than quarantine may exclude.
--- a/arranger/runtimes.go
+++ b/arranger/runtimes.go
@@ -1,6 +1,7 @@
 package arranger
 
 import (
+	"math"
 	"time"
 
 	"github.com/snipelift/snipelift/estimator"
@@ -34,11 +35,32 @@
 	minProjectionPercent = 10
 	// maxLiveSamples limits the unfinished runs of a step that are looked at.
 	maxLiveSamples = 128
+	// slowdownWeight is the weight of the latest start in the typical slowdown; it follows a change of the free workers
+	// within some tens of starts.
+	slowdownWeight = 0.1
 	// paceError is the share of the remaining time by which a run ends later than its pace promises in one of ten cases,
 	// beside the rounding of its progress.
 	paceError = 0.05
 )
 
+// typicalSlowdowns are the natural logarithms of the typical slowdown of recent starts. Work that is not urgent goes to the
+// slowest workers, so that it takes longer than on average ones.
+type typicalSlowdowns struct{ urgent, other float64 }
+
+// of returns the logarithm for jobs like the given one.
+func (t *typicalSlowdowns) of(j *job) *float64 {
+	if j.urgent() {
+		return &t.urgent
+	}
+	return &t.other
+}
+
+// record adds the slowdown of a start.
+func (t *typicalSlowdowns) record(j *job, slowdown float64) {
+	typical := t.of(j)
+	*typical += slowdownWeight * (math.Log(slowdown) - *typical)
+}
+
 // jobEstimates caches what was learned of the run times of a job.
 type jobEstimates struct {
 	at time.Time
@@ -201,12 +223,16 @@
 	return time.Duration(float64(runTime) / a.slowdown(p))
 }
 
-// plannedTime returns the run time of a step by which work is ordered.
+// plannedTime returns the run time of a step by which work is ordered, on the workers that such work gets at present.
 func (a *Arranger) plannedTime(now time.Time, j *job, step int) time.Duration {
 	if !learnsOrder {
 		return j.declared(step)
 	}
-	return a.estimatesOf(now, j).steps[step].Median
+	median := a.estimatesOf(now, j).steps[step].Median
+	if j.Steps[step].LongRunning {
+		return median
+	}
+	return scale(median, math.Exp(*a.slowdowns.of(j)))
 }
 
 // allowedTime returns the time from the acceptance of the job to its deadline, which follows the true duration of its critical
@@ -222,10 +248,15 @@
 // forecastOf returns the estimated work of a run that starts now, and its slowdown.
 func (a *Arranger) forecastOf(now time.Time, p *place) (*estimator.Estimate, float64) {
 	s := p.task.stage
-	if !learnsForecasts || s.step.LongRunning {
+	if s.step.LongRunning {
+		return nil, 0
+	}
+	slowdown := a.slowdown(p)
+	a.slowdowns.record(s.job, slowdown)
+	if !learnsForecasts {
 		return nil, 0
 	}
-	return a.estimatesOf(now, s.job).steps[s.stepNumber].Estimate, a.slowdown(p)
+	return a.estimatesOf(now, s.job).steps[s.stepNumber].Estimate, slowdown
 }
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
--- a/arranger/runtimes_test.go
+++ b/arranger/runtimes_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// TestTheLatestStartAllowsForSlowWorkers replays work on a fleet whose free workers are slow: by its run time on average ones, it
+// would be started too late, while the time that its caller allows follows the average ones.
+func TestTheLatestStartAllowsForSlowWorkers(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.RestoreSpeed("w0-0", -5)
+	for range 3 {
+		h.learnQueue("q", 4*time.Second, 6440*time.Millisecond)
+		h.now = h.now.Add(time.Second)
+		for i := range 8 {
+			h.RemoveJob(fmt.Sprintf("q-%d", i))
+		}
+	}
+	j := jobOf("job", 2, single(1, 8))
+	j.Accepted, j.Steps[0].Estimate = h.now, 4*time.Second
+	h.AddJob(h.now, j, Progress{}, false)
+	u := h.unitOf(h.now, h.jobs["job"].stages[0], rankUrgent+2)
+	// Three times 4 s and 1 s are allowed, of which the run takes 6.4 s.
+	if left := u.latestStart.Sub(h.now); left < 6*time.Second || left > 7200*time.Millisecond {
+		t.Errorf("the latest start is in %v, want about 6.6 s", left)
+	}
+}
+
 // TestAdoptedRunsCountByTheirPace replays a change of owner without recorded run times: when the runs that go on started is not
 // known, but their progress tells their work.
 func TestAdoptedRunsCountByTheirPace(t *testing.T) {
