limiter: Bound the memory and descriptors that clients and peers use

Change: one budget for each process, derived from its memory and descriptors, counts connections, header lines and bodies while they arrive; connections without progress give way, what does not fit is refused before it runs. The listeners of snipelift-entry and of snipelift serve use it, and the Go runtime gets a memory limit. Ruled out: fixed time-outs, which slow links would reach, and refusing newcomers, which the stalled ones would then keep out. Measured: unit tests only so far.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -5,16 +5,17 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/snipelift/snipelift/arranger"
 	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 )
@@ -34,6 +35,8 @@
 	storeRetryAfter = time.Second
 	// defaultMaxBody is the body size limit in bytes if the configuration sets none.
 	defaultMaxBody = 256 << 10
+	// largeBody is the size in bytes from which jobs are decoded one at a time: 256 KB of empty steps become 20 MB.
+	largeBody = 16 << 10
 )
 
 // Acceptor is the HTTP handler of the client API.
@@ -51,6 +54,8 @@
 	Draining atomic.Bool
 
 	batchers map[string]*batcher
+	// decoding serialises the decoding of large bodies.
+	decoding sync.Mutex
 }
 
 // New returns an acceptor with one batcher for each partition of the job table.
@@ -205,23 +210,28 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := limiter.ReadBody(c.r, limit)
+	switch {
+	case errors.Is(err, limiter.ErrOverloaded):
+		// The limiter counts and logs these, since a line for each would fill the log.
+		platform.WriteError(c.w, http.StatusServiceUnavailable, "not run: "+err.Error(), limiter.RetryAfter)
+		return
+	case errors.Is(err, limiter.ErrTooLarge):
 		a.refuse(c.w, c.r, c.id, http.StatusRequestEntityTooLarge, "body too large", 0)
 		return
-	}
-	if err != nil {
+	case err != nil:
 		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, "body cut short", 0)
 		return
 	}
-	submission, err := platform.DecodeJob(body)
+	submission, err := a.decode(body)
 	if err != nil {
 		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, err.Error(), 0)
 		return
 	}
-	sum := sha256.Sum256(append([]byte(c.organisation+"\x00"+c.queue.Name+"\x00"), body...))
-	job := registrar.Job{Job: a.newJob(c, submission), Digest: hex.EncodeToString(sum[:8])}
+	hash := sha256.New()
+	hash.Write([]byte(c.organisation + "\x00" + c.queue.Name + "\x00"))
+	hash.Write(body)
+	job := registrar.Job{Job: a.newJob(c, submission), Digest: hex.EncodeToString(hash.Sum(nil)[:8])}
 	value := registrar.Encode(job)
 	if len(value) > registrar.MaxValueBytes {
 		a.refuse(c.w, c.r, c.id, http.StatusRequestEntityTooLarge, "job too large to be stored", 0)
@@ -233,6 +243,15 @@
 	a.respondToSubmit(c, err)
 }
 
+// decode decodes a submitted job; large ones are decoded one at a time.
+func (a *Acceptor) decode(data []byte) (platform.Job, error) {
+	if len(data) >= largeBody {
+		a.decoding.Lock()
+		defer a.decoding.Unlock()
+	}
+	return platform.DecodeJob(data)
+}
+
 func (a *Acceptor) respondToSubmit(c call, err error) {
 	switch {
 	case err == nil:
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -25,6 +25,7 @@
 	"github.com/snipelift/snipelift/counter"
 	"github.com/snipelift/snipelift/dispatcher"
 	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/lister"
 	"github.com/snipelift/snipelift/messenger"
 	"github.com/snipelift/snipelift/owner"
@@ -70,6 +71,7 @@
 			newHandler,
 			newDrain,
 			newRegistry,
+			newBudget,
 		),
 		fx.Invoke(runPeerServer, runRouter, runHTTPServer),
 	)
@@ -133,6 +135,17 @@
 	return registry
 }
 
+// newBudget returns the budget that the listeners for callers and for other entries share.
+func newBudget(lifecycle fx.Lifecycle, settings configurer.Settings, registry metrics.Registry, logger *slog.Logger) *limiter.Budget {
+	budget := limiter.New(limiter.Detect(settings.MemoryMB, settings.MaxOpenFiles), logger)
+	budget.Register(registry)
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
+		budget.Close()
+		return nil
+	}})
+	return budget
+}
+
 func credentialsOf(p configurer.Platform) aws.CredentialsProvider {
 	if p.AccessKeyID == "" {
 		return aws.AnonymousCredentials{}
@@ -236,15 +249,15 @@
 	return v.Document
 }
 
-func runPeerServer(lifecycle fx.Lifecycle, settings configurer.Settings, r *router.Router, registry metrics.Registry) {
+func runPeerServer(lifecycle fx.Lifecycle, settings configurer.Settings, r *router.Router, registry metrics.Registry, budget *limiter.Budget) {
 	var cleanUp func()
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			listener, err := listen(ctx, settings.PeerAddress)
+			listener, err := limiter.Listen(ctx, limiter.Peers, settings.PeerAddress)
 			if err != nil {
-				return err
+				return fmt.Errorf("serve other entries: %w", err)
 			}
-			cleanUp = messenger.Serve(counter.Listener(registry, "peers", listener), r.Handlers())
+			cleanUp = messenger.Serve(budget.Wrap(limiter.Peers, counter.Listener(registry, "peers", listener)), r.Handlers())
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -254,15 +267,6 @@
 	})
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return listener, nil
-}
-
 func runRouter(lifecycle fx.Lifecycle, r *router.Router) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -282,16 +286,17 @@
 // runHTTPServer runs the HTTP server. At shutdown it first reports that the entry VM is not ready, keeps
 // serving for the drain time so that the load balancer stops sending requests, and then completes the
 // requests in progress.
-func runHTTPServer(lifecycle fx.Lifecycle, settings configurer.Settings, handler http.Handler, r *router.Router, d drain, logger *slog.Logger) {
+func runHTTPServer(lifecycle fx.Lifecycle, settings configurer.Settings, handler http.Handler, r *router.Router, d drain, logger *slog.Logger, budget *limiter.Budget) {
 	httpServer := server.NewHTTPServer(handler)
+	budget.Protect(httpServer, server.Headers()...)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			listener, err := listen(ctx, settings.HTTPAddress)
+			listener, err := limiter.Listen(ctx, limiter.Clients, settings.HTTPAddress)
 			if err != nil {
-				return err
+				return fmt.Errorf("serve callers: %w", err)
 			}
 			logger.Info("serving", "address", settings.HTTPAddress)
-			go func() { _ = httpServer.Serve(listener) }()
+			go func() { _ = httpServer.Serve(budget.Wrap(limiter.Clients, listener)) }()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/cmd/snipelift-entry/main.go
+++ b/cmd/snipelift-entry/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/snipelift/snipelift/hoster"
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/logger"
 	"github.com/snipelift/snipelift/platform"
 )
@@ -27,6 +28,7 @@
 		fmt.Fprintln(os.Stderr, "snipelift-entry:", err)
 		return 2
 	}
+	debug.SetMemoryLimit(limiter.Detect(settings.MemoryMB, settings.MaxOpenFiles).GoMemoryBytes())
 	log, closeLog := logger.New(os.Stdout, slog.LevelInfo, "node", settings.Node)
 	defer closeLog()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipelift/snipelift/assembler"
 	"github.com/snipelift/snipelift/configurer"
+	"github.com/snipelift/snipelift/limiter"
 )
 
 // gcPercent is below Go's default of 100 to save memory at the cost of CPU time: an entry VM has little
@@ -35,6 +36,7 @@
 // serve runs the entry VM's process until the context ends, then shuts it down.
 func serve(ctx context.Context, c console, settings configurer.Settings) (int, error) {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(limiter.Detect(settings.MemoryMB, settings.MaxOpenFiles).GoMemoryBytes())
 	app := assembler.New(assembler.Inputs{Settings: settings, LogOutput: c.err})
 	if err := app.Start(ctx); err != nil {
 		return 0, fmt.Errorf("start: %w", err)
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -42,6 +42,10 @@
 	TraceFile string `json:"traceFile,omitempty"`
 	// DrainMillis is how long the entry keeps serving after it reports that it is not ready, in milliseconds; the default is 2000.
 	DrainMillis int `json:"drainMillis"`
+	// MemoryMB is the memory that the process may use, in MB; 0 (the default) means that of the VM or of the control group.
+	MemoryMB int `json:"memoryMb,omitempty"`
+	// MaxOpenFiles is the number of file descriptors that the process may use; 0 (the default) means the limit of the process.
+	MaxOpenFiles int `json:"maxOpenFiles,omitempty"`
 	// CheckInvariants stops the process at the first violated invariant; the default is false.
 	CheckInvariants bool `json:"checkInvariants,omitempty"`
 }
@@ -74,6 +78,9 @@
 	defaultTimeoutMillis = 1500
 	maxMillis            = 60_000
 	maxSettingsBytes     = 1 << 20
+	// maxMemoryMB and maxFiles are the largest accepted values of memoryMb and maxOpenFiles.
+	maxMemoryMB = 1 << 20
+	maxFiles    = 1 << 24
 )
 
 var (
@@ -161,6 +168,8 @@
 		checkOneOf("logFormat", s.LogFormat, "json", "text"),
 		checkOneOf("logLevel", s.LogLevel, "debug", "info", "warn", "error"),
 		checkRange("drainMillis", s.DrainMillis, 1, maxMillis),
+		checkRange("memoryMb", s.MemoryMB, 0, maxMemoryMB),
+		checkRange("maxOpenFiles", s.MaxOpenFiles, 0, maxFiles),
 		s.checkOperatorKey(),
 	}
 	for _, err := range checks {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/snipelift/snipelift/acceptor"
 	"github.com/snipelift/snipelift/director"
 	"github.com/snipelift/snipelift/follower"
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/registrar"
 	"github.com/snipelift/snipelift/relayer"
@@ -76,7 +76,10 @@
 	metrics.registerConfig(p.config)
 	p.accept = acceptor.New(store, p.config, p.Logger)
 	p.accept.ConfigDeadline, p.accept.ConfigStretch = p.Settings.Bounds.ConfigDeadline, p.Settings.Bounds.ConfigStretch
-	servers, err := p.listen(ctx, metrics)
+	budget := limiter.New(limiter.Detect(p.Settings.MemoryMB, p.Settings.MaxOpenFiles), p.Logger)
+	defer budget.Close()
+	budget.Register(metrics.registry)
+	servers, err := p.listen(ctx, metrics, budget)
 	if err != nil {
 		return err
 	}
@@ -124,33 +127,35 @@
 }
 
 // listen opens all listeners before it returns, so that the process exits immediately if an address is unavailable.
-func (p *Process) listen(ctx context.Context, m *metricSet) ([]*http.Server, error) {
+func (p *Process) listen(ctx context.Context, m *metricSet, budget *limiter.Budget) ([]*http.Server, error) {
 	endpoints := []struct {
+		class   limiter.Class
 		address string
 		handler http.Handler
+		headers []string
 	}{
-		{p.Settings.ClientAddress, m.instrument(p.accept)},
-		{p.Settings.ReadinessAddress, http.HandlerFunc(p.serveReadiness)},
-		{p.Settings.MetricsAddress, m},
-		{p.Settings.PeerAddress, p.relay},
+		{limiter.Clients, p.Settings.ClientAddress, m.instrument(p.accept), platform.ClientHeaders()},
+		{limiter.Probes, p.Settings.ReadinessAddress, http.HandlerFunc(p.serveReadiness), nil},
+		{limiter.Metrics, p.Settings.MetricsAddress, m, nil},
+		{limiter.Peers, p.Settings.PeerAddress, p.relay, platform.StoreHeaders()},
 	}
 	var servers []*http.Server
 	for _, endpoint := range endpoints {
 		if endpoint.address == "" {
 			continue
 		}
-		var config net.ListenConfig
-		l, err := config.Listen(ctx, "tcp", endpoint.address)
+		l, err := limiter.Listen(ctx, endpoint.class, endpoint.address)
 		if err != nil {
-			return nil, fmt.Errorf("listen on %s: %w", endpoint.address, err)
+			return nil, fmt.Errorf("open listener for %s: %w", endpoint.class, err)
 		}
 		s := &http.Server{
 			Handler: endpoint.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(p.Logger.Handler(), slog.LevelDebug),
 		}
+		budget.Protect(s, endpoint.headers...)
 		servers = append(servers, s)
 		go func() {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(budget.Wrap(endpoint.class, l)); !errors.Is(err, http.ErrServerClosed) {
 				p.Logger.Error("listener failed", "address", endpoint.address, "error", err.Error())
 			}
 		}()
--- /dev/null
+++ b/limiter/conn.go
@@ -0,0 +1,348 @@
+package limiter
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// rateWindow is the time in which the recent rate of a connection is measured.
+	rateWindow = 2 * time.Second
+	// lingerTime is how long the connection of a refused request remains open for the client to read the response; closing it earlier would reset it, as the client still sends.
+	lingerTime = 500 * time.Millisecond
+	// maxLingering is the number of connections of refused requests that remain open.
+	maxLingering = 64
+)
+
+var (
+	errDropped  = errors.New("connection gave way to others")
+	errRefused  = errors.New("request refused before it was read")
+	errTooLarge = errors.New("message too large")
+)
+
+// conn counts what arrives on a connection.
+type conn struct {
+	net.Conn
+
+	budget *Budget
+	class  Class
+
+	// The budget's mutex guards these: whether the connection has a place, where, and what its request uses.
+	registered       bool
+	index            int
+	held, heldHeader int64
+
+	mu    sync.Mutex
+	phase phase
+	// reading and writing mean that a call waits for the client.
+	reading, writing bool
+	// progress is the time of the last byte, or of the latest change of phase; began is the start of the request.
+	progress, began time.Time
+	// lines and received are those of the header or message that is arriving.
+	lines, received int64
+	headerCost      int64
+	// dropped means that the connection gave way, refused that nothing more is read from it, and closed that Close was called.
+	dropped, refused, closed bool
+	// handled means that a handler has the request, and answered that the handler responds although the request was not read completely.
+	handled, answered bool
+	// messages means that a peer sends JSON messages instead of HTTP requests, and calls is the number of its calls in progress.
+	messages bool
+	calls    int
+	rate     rate
+}
+
+// rate measures how many bytes arrived recently.
+type rate struct {
+	start             time.Time
+	current, previous int64
+}
+
+func (r *rate) add(now time.Time, n int64) {
+	r.advance(now)
+	r.current += n
+}
+
+func (r *rate) advance(now time.Time) {
+	switch passed := now.Sub(r.start); {
+	case passed < rateWindow:
+	case passed < 2*rateWindow:
+		r.previous, r.current = r.current, 0
+		r.start = r.start.Add(rateWindow)
+	default:
+		*r = rate{start: now}
+	}
+}
+
+// perSecond returns the rate since the start of the previous window.
+func (r *rate) perSecond(now time.Time) int64 {
+	r.advance(now)
+	return (r.previous + r.current) * int64(time.Second) / int64(rateWindow+now.Sub(r.start))
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.beginRead(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if failure := c.endRead(p[:n]); failure != nil {
+		return 0, failure
+	}
+	return n, err //nolint:wrapcheck // A wrapper returns the errors of the connection unchanged.
+}
+
+func (c *conn) beginRead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.failure(); err != nil {
+		return err
+	}
+	c.reading = true
+	return nil
+}
+
+func (c *conn) failure() error {
+	switch {
+	case c.dropped:
+		return errDropped
+	case c.refused:
+		return errRefused
+	default:
+		return nil
+	}
+}
+
+// endRead counts what was read; an error means that it exceeds the budget.
+func (c *conn) endRead(p []byte) error {
+	held, stage, err := c.countRead(p)
+	if err != nil || held == 0 {
+		return err
+	}
+	if !c.budget.charge(c, held, stage) {
+		c.budget.reporter.count(stage.refusal())
+		c.stopReading()
+		return errRefused
+	}
+	return nil
+}
+
+// countRead returns the memory that the header or message in progress needs beyond the allowance.
+func (c *conn) countRead(p []byte) (held int64, stage purpose, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if err := c.failure(); err != nil {
+		return 0, 0, err
+	}
+	if len(p) == 0 {
+		return 0, 0, nil
+	}
+	now := time.Now()
+	c.progress = now
+	c.rate.add(now, int64(len(p)))
+	if c.phase == idle {
+		c.phase, c.began, c.lines, c.received = header, now, 0, 0
+	}
+	if c.phase != header {
+		return 0, 0, nil
+	}
+	c.received += int64(len(p))
+	if c.messages {
+		if c.received > maxMessageBytes {
+			c.budget.reporter.count(messageRefused)
+			return 0, 0, errTooLarge
+		}
+		return heldCost(0, c.received*messageFactor), forBody, nil
+	}
+	c.lines += int64(bytes.Count(p, []byte{'\n'}))
+	return heldCost(headerCost(c.received, c.lines), 0), forHeader, nil
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(true)
+	defer c.setWriting(false)
+	return c.Conn.Write(p) //nolint:wrapcheck // A wrapper returns the errors of the connection unchanged.
+}
+
+func (c *conn) setWriting(writing bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing, c.progress = writing, now
+}
+
+// sight returns what is known of the connection; the caller adds the memory.
+func (c *conn) sight(now time.Time) sight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := sight{phase: c.phase, age: now.Sub(c.began), rate: c.rate.perSecond(now)}
+	switch {
+	case c.dropped || c.refused || c.closed:
+		s.phase = busy
+	case c.writing:
+		s.phase, s.waiting = body, now.Sub(c.progress)
+	case c.calls > 0 && c.phase == idle:
+		s.phase = busy
+	case c.reading:
+		s.waiting = now.Sub(c.progress)
+	}
+	return s
+}
+
+// drop marks the connection as one that gave way, unless it has made progress since it was seen.
+func (c *conn) drop(now time.Time, seen sight) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if waits := c.reading || c.writing; c.dropped || !waits || now.Sub(c.progress) != seen.waiting {
+		return false
+	}
+	c.dropped = true
+	return true
+}
+
+func (c *conn) isDropped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped
+}
+
+// abort ends the request of a connection that gave way: a handler that waits for the body answers, any other connection is closed.
+func (c *conn) abort() {
+	c.mu.Lock()
+	answer := c.handled && c.phase == body && !c.writing
+	c.answered = c.answered || answer
+	c.mu.Unlock()
+	if answer && c.SetReadDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// stopReading makes all further reads fail, so that the server does not wait for the rest of a refused request.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+	c.answered = c.answered || c.handled
+}
+
+// setPhase changes what the connection does.
+func (c *conn) setPhase(p phase) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.progress = p, now
+}
+
+// beginHandler means that the header has been read and parsed; its memory is now that of the given cost. The result is false if that does not fit.
+func (c *conn) beginHandler(cost int64) bool {
+	now := time.Now()
+	c.mu.Lock()
+	c.phase, c.progress, c.handled, c.headerCost = busy, now, true, cost
+	if c.began.IsZero() || c.received == 0 {
+		c.began = now
+	}
+	charged := heldCost(headerCost(c.received, c.lines), 0) > 0
+	c.mu.Unlock()
+	held := heldCost(cost, 0)
+	return (held == 0 && !charged) || c.budget.charge(c, held, forBody)
+}
+
+// endHandler means that the response is complete, or will be; the server then discards the rest of the body.
+func (c *conn) endHandler() {
+	c.mu.Lock()
+	c.phase, c.progress, c.handled = body, time.Now(), false
+	c.mu.Unlock()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.release(c)
+}
+
+// endRequest means that the connection is between two requests.
+func (c *conn) endRequest() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.progress, c.began, c.lines, c.received = idle, now, now, 0, 0
+}
+
+// holdBody sets the memory of the body that is held for the request, and may wait for it.
+func (c *conn) holdBody(size int64) bool {
+	c.mu.Lock()
+	held, before := heldCost(c.headerCost, size), heldCost(c.headerCost, 0)
+	c.mu.Unlock()
+	return (held == 0 && before == 0) || c.budget.await(c, held)
+}
+
+// CloseWrite closes the sending direction, as the server does before it closes the connection of a client that still sends.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite() //nolint:wrapcheck // A wrapper returns the errors of the connection unchanged.
+	}
+	return nil
+}
+
+// Close implements net.Conn; the connection of a refused request remains open for a short time.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first, linger := !c.closed, c.answered
+	c.closed = true
+	c.mu.Unlock()
+	if first && linger && c.budget.beginLinger() {
+		_ = c.CloseWrite()
+		time.AfterFunc(lingerTime, func() {
+			c.budget.endLinger()
+			c.budget.remove(c)
+			_ = c.Conn.Close()
+		})
+		return nil
+	}
+	if first {
+		c.budget.remove(c)
+	}
+	return c.Conn.Close() //nolint:wrapcheck // A wrapper returns the errors of the connection unchanged.
+}
+
+func (b *Budget) beginLinger() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lingering >= maxLingering {
+		return false
+	}
+	b.lingering++
+	return true
+}
+
+func (b *Budget) endLinger() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lingering--
+}
+
+type connKey struct{}
+
+// withConn adds the connection to the context of its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// observeState implements the ConnState hook of http.Server.
+func observeState(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*conn); ok && state == http.StateIdle {
+		c.endRequest()
+	}
+}
--- /dev/null
+++ b/limiter/shares_test.go
@@ -0,0 +1,52 @@
+package limiter
+
+import "testing"
+
+const fourThousandLines = 20 << 10 / 3
+
+// Ordinary clients were refused, or the process exceeded its memory, if the parts did not fit the smallest and the largest VMs.
+func TestSharesFitTheLimits(t *testing.T) {
+	for _, test := range []struct {
+		memoryMB, files, clients int64
+	}{{48, 1024, 64}, {64, 1024, 200}, {144, 4100, 1000}, {284, 4100, 2500}, {536, 4100, 2500}, {65536, 1 << 20, 100_000}} {
+		l := Limits{MemoryBytes: test.memoryMB * mebibyte, OpenFiles: int(test.files)}
+		s := l.divide()
+		clients := int64(0)
+		for s.connections.take(Clients, 1) {
+			clients++
+		}
+		if clients < test.clients || clients > (test.files-reservedFiles)*acceptedShare/100 {
+			t.Errorf("%d MB: %d connections of clients, want at least %d", test.memoryMB, clients, test.clients)
+		}
+		for _, c := range []Class{Peers, Probes, Metrics} {
+			if !s.connections.take(c, 4) || (c == Peers && !s.connections.take(c, 4)) {
+				t.Errorf("%d MB: no connections left for %s", test.memoryMB, c)
+			}
+		}
+		if limit := headerCost(20<<10, fourThousandLines); limit > s.maxHeaderBytes || !s.bytes.take(Clients, limit) {
+			t.Errorf("%d MB: no room for one header of legal size", test.memoryMB)
+		}
+		if used := s.connections.total*connectionCost + s.bytes.total; test.memoryMB >= 64 && used > l.GoMemoryBytes()-minOwn {
+			t.Errorf("%d MB: the budget has %d bytes, the Go runtime %d", test.memoryMB, used, l.GoMemoryBytes())
+		}
+	}
+}
+
+func TestFloodOfOneClassLeavesTheReserveOfOthers(t *testing.T) {
+	l := ledger{total: 100, accounts: [classes]account{Clients: {max: 100}, Peers: {reserved: 10, max: 50}, Probes: {reserved: 2, max: 4}, Metrics: {reserved: 2, max: 4}}}
+	for l.take(Clients, 1) {
+	}
+	if got := l.accounts[Clients].used; got != 86 {
+		t.Errorf("clients use %d, want all but the reserves", got)
+	}
+	if !l.take(Peers, 10) || l.take(Peers, 1) || !l.take(Probes, 2) || l.take(Probes, 1) {
+		t.Error("the reserves are not available, or exceeded")
+	}
+	if !l.pressed(Clients, 25) {
+		t.Error("a full share is not pressed")
+	}
+	l.give(Clients, 50)
+	if !l.take(Peers, 40) || l.take(Peers, 1) || l.pressed(Clients, 10) {
+		t.Error("what one class does not use is not available to another up to its maximum")
+	}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 
 	"github.com/snipelift/snipelift/owner"
 	"github.com/snipelift/snipelift/recorder"
@@ -24,6 +25,8 @@
 const (
 	codeNotOwner = 1
 	codeNoJob    = 2
+	// codeOverloaded means that the call was not run for lack of memory.
+	codeOverloaded = 3
 )
 
 // ErrOutcomeUnknown means that a call may have been executed by the other entry.
@@ -32,6 +35,9 @@
 // ErrUnreachable means that no connection could be opened, so the call was not sent.
 var ErrUnreachable = errors.New("entry unreachable")
 
+// errOverloaded means that the other entry had no memory for the call and did not run it.
+var errOverloaded = fmt.Errorf("%w: overloaded", ErrUnreachable)
+
 // SubmitParams are the parameters of MethodSubmit; the result is owner.Admission.
 type SubmitParams struct {
 	Record recorder.OpenJob `json:"record"`
@@ -90,6 +96,8 @@
 		return owner.ErrNotOwner
 	case codeNoJob:
 		return owner.ErrNoJob
+	case codeOverloaded:
+		return errOverloaded
 	default:
 		return nil
 	}
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/snipelift/snipelift/limiter"
 )
 
 // Handlers handle the calls of other entries; each field serves one method, and Nudge serves MethodDocumentChanged.
@@ -79,8 +81,9 @@
 		if err != nil {
 			return
 		}
-		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), h)
+		messages := limiter.MessagesOf(raw)
+		h := boundedHandler{handler: jsonrpc2.HandlerWithError(s.handle), messages: messages}
+		conn := jsonrpc2.NewConn(ctx, newMessageStream(raw, messages), h)
 		s.mu.Lock()
 		s.conns[conn] = true
 		s.mu.Unlock()
--- /dev/null
+++ b/messenger/stream.go
@@ -0,0 +1,78 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/snipelift/snipelift/limiter"
+)
+
+// messageStream reads and writes JSON-RPC objects without a header; it counts the memory of messages and keeps no buffer of the size of the largest one.
+type messageStream struct {
+	conn     net.Conn
+	messages limiter.Messages
+	encoder  *json.Encoder
+	// rest is what arrived of the next message together with the previous one.
+	rest []byte
+}
+
+func newMessageStream(conn net.Conn, messages limiter.Messages) *messageStream {
+	return &messageStream{conn: conn, messages: messages, encoder: json.NewEncoder(conn)}
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (m *messageStream) ReadObject(v any) error {
+	decoder := json.NewDecoder(io.MultiReader(bytes.NewReader(m.rest), m.conn))
+	if err := decoder.Decode(v); err != nil {
+		return err //nolint:wrapcheck // The connection compares the error with io.EOF.
+	}
+	rest, err := io.ReadAll(decoder.Buffered())
+	if err != nil {
+		return fmt.Errorf("read the rest of a message: %w", err)
+	}
+	m.rest = bytes.TrimSpace(rest)
+	m.messages.End(len(m.rest))
+	return nil
+}
+
+// WriteObject implements jsonrpc2.ObjectStream.
+func (m *messageStream) WriteObject(v any) error {
+	return m.encoder.Encode(v) //nolint:wrapcheck // A stream returns the errors of the connection unchanged.
+}
+
+// Close implements io.Closer.
+func (m *messageStream) Close() error {
+	return m.conn.Close() //nolint:wrapcheck // A stream returns the errors of the connection unchanged.
+}
+
+// boundedHandler runs each call in a goroutine of its own, and rejects calls for which there is no memory.
+type boundedHandler struct {
+	handler  jsonrpc2.Handler
+	messages limiter.Messages
+}
+
+// Handle implements jsonrpc2.Handler.
+func (b boundedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	size := 0
+	if request.Params != nil {
+		size = len(*request.Params)
+	}
+	end, ok := b.messages.BeginCall(size)
+	if !ok {
+		if !request.Notif {
+			// The caller learns of a failed response by the end of the connection.
+			_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: codeOverloaded, Message: "not run: " + errOverloaded.Error()})
+		}
+		return
+	}
+	go func() {
+		defer end()
+		b.handler.Handle(ctx, conn, request)
+	}()
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/sleeper"
 )
@@ -334,8 +335,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := readBody(request)
-	if err != nil {
+	body, err := limiter.ReadBody(request, maxBodyBytes)
+	switch {
+	case errors.Is(err, limiter.ErrOverloaded):
+		limiter.Refuse(w)
+		return
+	case errors.Is(err, limiter.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/server/document.go
+++ b/server/document.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/snipelift/snipelift/documenter"
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/spreader"
 	"github.com/snipelift/snipelift/storer"
 )
@@ -61,7 +61,11 @@
 		writeProblem(c, Problem{Status: http.StatusBadRequest, Detail: fmt.Sprintf("header %s: %d bytes, accepted are 1 to %d", HeaderEditID, len(editID), maxKeyBytes)})
 		return
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, documenter.MaxBytes))
+	text, err := limiter.ReadBody(c.Request, documenter.MaxBytes)
+	if errors.Is(err, limiter.ErrOverloaded) {
+		writeOverloaded(c, err)
+		return
+	}
 	if err != nil {
 		writeProblem(c, Problem{Status: http.StatusRequestEntityTooLarge, Detail: err.Error()})
 		return
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/gin-gonic/gin"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/owner"
 	"github.com/snipelift/snipelift/packer"
 	"github.com/snipelift/snipelift/recorder"
@@ -129,7 +129,11 @@
 	if key == "" || len(key) > maxKeyBytes {
 		return recorder.OpenJob{}, badRequest(c, fmt.Sprintf("header %s: %d bytes, accepted are 1 to %d", HeaderIdempotencyKey, len(key), maxKeyBytes))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	body, err := limiter.ReadBody(c.Request, maxBodyBytes)
+	if errors.Is(err, limiter.ErrOverloaded) {
+		writeOverloaded(c, err)
+		return recorder.OpenJob{}, false
+	}
 	if err != nil {
 		writeProblem(c, Problem{Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("body: at most %d bytes are accepted", maxBodyBytes), Ran: scheduler.NotRun})
 		return recorder.OpenJob{}, false
@@ -156,7 +160,9 @@
 
 func newRecord(ctx context.Context, request SubmitRequest, organisation, key string, body []byte) recorder.OpenJob {
 	now := time.Now().UTC()
-	fingerprint := sha256.Sum256(append([]byte(organisation+"\x00"), body...))
+	fingerprint := sha256.New()
+	fingerprint.Write([]byte(organisation + "\x00"))
+	fingerprint.Write(body)
 	record := recorder.OpenJob{
 		Job: scheduler.Job{
 			ID:              recorder.JobID(organisation, key),
@@ -168,7 +174,7 @@
 			MemoryMB:        request.MemoryMB,
 		},
 		Payload:     request.Payload,
-		Fingerprint: hex.EncodeToString(fingerprint[:]),
+		Fingerprint: hex.EncodeToString(fingerprint.Sum(nil)),
 		Traceparent: tracer.Traceparent(ctx),
 	}
 	if request.DeadlineSeconds > 0 {
--- a/server/problem.go
+++ b/server/problem.go
@@ -7,6 +7,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/scheduler"
 )
 
@@ -51,6 +52,12 @@
 	})
 }
 
+// writeOverloaded responds that the request gave way to others before its body was read.
+func writeOverloaded(c *gin.Context, err error) {
+	c.Header("Retry-After", strconv.Itoa(int(limiter.RetryAfter/time.Second)))
+	writeProblem(c, Problem{Status: http.StatusServiceUnavailable, Title: "Refused, not run", Detail: err.Error(), Ran: scheduler.NotRun, Rule: "overloaded"})
+}
+
 func refusalStatus(rule scheduler.Rule) int {
 	switch rule {
 	case scheduler.RuleQueueFull, scheduler.RuleShed:
--- a/server/server.go
+++ b/server/server.go
@@ -73,6 +73,14 @@
 	return engine
 }
 
+// Headers returns the canonical names of the headers that the handlers read.
+func Headers() []string {
+	return []string{
+		"Authorization", "Prefer", "If-Match", "If-None-Match", "Traceparent", "Tracestate",
+		HeaderIdempotencyKey, HeaderOrganisation, HeaderEditID, HeaderEditor,
+	}
+}
+
 // NewHTTPServer returns an HTTP server for the handler with timeouts and a header size limit.
 func NewHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
