limiter: Refuse headers that do not fit with 503, and count no lines of bodies

Cause: net/http answered 400 when the budget refused a header, which blames the client, and a body of 4-byte chunks counted as header lines. Change: the connection answers 503 with Retry-After itself, counting stops at the empty line, parts of bodies are no larger than what is announced, and a connection that gives way to another one is closed at once.

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -75,6 +75,9 @@
 			block, _ := blocks.Get().(*[blockSize]byte)
 			b.full = append(b.full, block)
 			part = block[:]
+			if b.length >= 0 {
+				part = block[:min(blockSize, b.length-b.size)]
+			}
 		}
 	}
 	return b.join()
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -84,7 +84,7 @@
 	}
 	b.mu.Unlock()
 	for _, d := range dropped {
-		d.abort()
+		d.abort(forConnection)
 		b.reporter.count(connectionClosed)
 	}
 	if !ok {
@@ -137,7 +137,7 @@
 	}
 	b.mu.Unlock()
 	for _, d := range dropped {
-		d.abort()
+		d.abort(p)
 		b.reporter.count(requestClosed)
 	}
 	return ok
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -19,12 +18,16 @@
 	maxLingering = 64
 )
 
+// The errors of reads are of type net.OpError, for which the server closes the connection without a response that blames the client.
 var (
-	errDropped  = errors.New("connection gave way to others")
-	errRefused  = errors.New("request refused before it was read")
-	errTooLarge = errors.New("message too large")
+	errDropped  = &net.OpError{Op: "read", Err: errors.New("connection gave way to others")}
+	errRefused  = &net.OpError{Op: "read", Err: errors.New("request refused before it was read")}
+	errTooLarge = &net.OpError{Op: "read", Err: errors.New("message too large")}
 )
 
+// headerRefusal is the response to a header that does not fit the budget; no handler has seen the request.
+const headerRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 20\r\n\r\n{\"error\":\"not run\"}\n"
+
 // conn counts what arrives on a connection.
 type conn struct {
 	net.Conn
@@ -43,9 +46,10 @@
 	reading, writing bool
 	// progress is the time of the last byte, or of the latest change of phase; began is the start of the request.
 	progress, began time.Time
-	// lines and received are those of the header or message that is arriving.
-	lines, received int64
-	headerCost      int64
+	// scan counts the header that is arriving, received the bytes of a message, and headerCost is the memory of the parsed header.
+	scan       headerScan
+	received   int64
+	headerCost int64
 	// dropped means that the connection gave way, refused that nothing more is read from it, and closed that Close was called.
 	dropped, refused, closed bool
 	// handled means that a handler has the request, and answered that the handler responds although the request was not read completely.
@@ -125,7 +129,7 @@
 	}
 	if !c.budget.charge(c, held, stage) {
 		c.budget.reporter.count(stage.refusal())
-		c.stopReading()
+		c.refuseUnread(stage)
 		return errRefused
 	}
 	return nil
@@ -146,21 +150,21 @@
 	c.progress = now
 	c.rate.add(now, int64(len(p)))
 	if c.phase == idle {
-		c.phase, c.began, c.lines, c.received = header, now, 0, 0
+		c.phase, c.began, c.scan, c.received = header, now, headerScan{}, 0
 	}
 	if c.phase != header {
 		return 0, 0, nil
 	}
-	c.received += int64(len(p))
 	if c.messages {
+		c.received += int64(len(p))
 		if c.received > maxMessageBytes {
 			c.budget.reporter.count(messageRefused)
 			return 0, 0, errTooLarge
 		}
 		return heldCost(0, c.received*messageFactor), forBody, nil
 	}
-	c.lines += int64(bytes.Count(p, []byte{'\n'}))
-	return heldCost(headerCost(c.received, c.lines), 0), forHeader, nil
+	c.scan.add(p)
+	return heldCost(c.scan.cost(), 0), forHeader, nil
 }
 
 // Write implements net.Conn.
@@ -213,9 +217,10 @@
 }
 
 // abort ends the request of a connection that gave way: a handler that waits for the body answers, any other connection is closed.
-func (c *conn) abort() {
+// The descriptor of a connection that gave way to another connection is needed at once, so that it is closed without an answer.
+func (c *conn) abort(p purpose) {
 	c.mu.Lock()
-	answer := c.handled && c.phase == body && !c.writing
+	answer := p != forConnection && c.handled && c.phase == body && !c.writing
 	c.answered = c.answered || answer
 	c.mu.Unlock()
 	if answer && c.SetReadDeadline(time.Unix(1, 0)) == nil {
@@ -232,6 +237,20 @@
 	c.answered = c.answered || c.handled
 }
 
+// refuseUnread refuses a request whose header does not fit; a peer that sends messages learns it from the end of the connection.
+func (c *conn) refuseUnread(stage purpose) {
+	c.stopReading()
+	if stage != forHeader || c.isDropped() {
+		return
+	}
+	if _, err := c.Write([]byte(headerRefusal)); err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+}
+
 // setPhase changes what the connection does.
 func (c *conn) setPhase(p phase) {
 	now := time.Now()
@@ -245,10 +264,10 @@
 	now := time.Now()
 	c.mu.Lock()
 	c.phase, c.progress, c.handled, c.headerCost = busy, now, true, cost
-	if c.began.IsZero() || c.received == 0 {
+	if c.scan.bytes == 0 {
 		c.began = now
 	}
-	charged := heldCost(headerCost(c.received, c.lines), 0) > 0
+	charged := heldCost(c.scan.cost(), 0) > 0
 	c.mu.Unlock()
 	held := heldCost(cost, 0)
 	return (held == 0 && !charged) || c.budget.charge(c, held, forBody)
@@ -269,7 +288,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.progress, c.began, c.lines, c.received = idle, now, now, 0, 0
+	c.phase, c.progress, c.began, c.scan, c.received = idle, now, now, headerScan{}, 0
 }
 
 // holdBody sets the memory of the body that is held for the request, and may wait for it.
--- a/limiter/cost.go
+++ b/limiter/cost.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 )
@@ -19,6 +20,33 @@
 // headerCost estimates the memory in bytes of a header of which so many bytes and line ends have arrived; 16 KB of lines without values use half a megabyte when they are parsed.
 func headerCost(bytes, lines int64) int64 { return bytes + lines*lineCost }
 
+// headerScan counts the bytes and line ends of a header that arrives in parts. It stops at the end of the header, since a body of small chunks has as many line ends and costs less.
+type headerScan struct {
+	bytes, lines int64
+	// line is the length of the current line so far, and ended means that an empty line was seen.
+	line  int
+	ended bool
+}
+
+func (h *headerScan) add(p []byte) {
+	for len(p) > 0 && !h.ended {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			h.bytes += int64(len(p))
+			h.line += len(p)
+			return
+		}
+		h.bytes += int64(end) + 1
+		h.lines++
+		length := h.line + end
+		h.ended = length == 0 || (length == 1 && (end == 0 || p[0] == '\r'))
+		h.line = 0
+		p = p[end+1:]
+	}
+}
+
+func (h *headerScan) cost() int64 { return headerCost(h.bytes, h.lines) }
+
 // heldCost returns what a request with these costs uses beyond the allowance.
 func heldCost(header, body int64) int64 { return max(header+body-requestAllowance, 0) }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -142,7 +142,7 @@
 		return nil, nil
 	}
 	defer func() { _ = request.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
+	body, err := limiter.ReadBody(request, maxBodyBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read request: %w", err)
 	}
