--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -142,11 +142,13 @@
 		return nil, nil
 	}
 	defer func() { _ = request.Body.Close() }()
-	body, err := limiter.ReadBody(request, maxBodyBytes)
-	if err != nil {
+	// The length is known for requests of package platform; a buffer that grows would be copied several times.
+	body := make([]byte, 0, min(max(request.ContentLength, 0), maxBodyBytes)+bytes.MinRead)
+	buffer := bytes.NewBuffer(body)
+	if _, err := buffer.ReadFrom(io.LimitReader(request.Body, maxBodyBytes)); err != nil {
 		return nil, fmt.Errorf("read request: %w", err)
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
 
 // rejected reports whether the store refused the request without executing it.
