--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -19,7 +19,7 @@
 	scanInterval = 50 * time.Millisecond
 	// closeDivisor determines how many connections, or how much memory, one search frees: 1/closeDivisor of the share, so that a flood does not cause a search for each of its connections.
 	closeDivisor = 64
-	// maxWaiting is the number of bodies that wait for memory at the same time; each leaves up to 64 KB in its socket.
+	// maxWaiting is the number of bodies that wait for memory at the same time; each leaves a full receive buffer in its socket.
 	maxWaiting = 32
 	// waitTime is how long a body waits for memory: until stalled requests have had their fair chance. waitInterval is the time between two attempts.
 	waitTime     = fairChance + 200*time.Millisecond
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -9,8 +9,8 @@
 )
 
 // receiveBuffer is the size in bytes of the receive buffer of an accepted connection, by class; the kernel doubles it. Bytes that wait there are memory of the VM
-// too: the default grows to 6 MB for each connection.
-var receiveBuffer = [classes]int{Clients: 32 << 10, Peers: 64 << 10, Probes: 8 << 10, Metrics: 8 << 10}
+// too: a connection that is not read accepted 120 KB on loopback with the default, and 20 KB with 8 KB, which makes 50 MB for 2,500 connections.
+var receiveBuffer = [classes]int{Clients: 8 << 10, Peers: 32 << 10, Probes: 8 << 10, Metrics: 8 << 10}
 
 // Listen opens a TCP listener whose connections have small receive buffers.
 func Listen(ctx context.Context, c Class, address string) (net.Listener, error) {
--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -58,9 +58,10 @@
 	// peerByteShare is the part of the memory for large requests that is reserved for peers in percent, smallByteShare that for each of probes and metrics.
 	peerByteShare  = 15
 	smallByteShare = 1
-	// maxPeerShare is the part of connections and memory that peers may use in percent, maxSmallShare that of each of probes and metrics.
-	maxPeerShare  = 50
-	maxSmallShare = 10
+	// maxPeerShare is the part of the memory that peers may use in percent, maxPeerConnections that of the connections, and maxSmallShare the part of both for each of probes and metrics.
+	maxPeerShare       = 50
+	maxPeerConnections = 25
+	maxSmallShare      = 10
 )
 
 // outsideBytes returns the memory that the process uses outside the Go runtime.
@@ -91,7 +92,7 @@
 	return shares{
 		connections: ledger{total: connections, accounts: [classes]account{
 			Clients: {max: connections},
-			Peers:   {reserved: peers, max: connections * maxPeerShare / 100},
+			Peers:   {reserved: peers, max: connections * maxPeerConnections / 100},
 			Probes:  {reserved: small, max: max(small, connections*maxSmallShare/100)},
 			Metrics: {reserved: small, max: max(small, connections*maxSmallShare/100)},
 		}},
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -70,6 +70,7 @@
 type rpcServer struct {
 	methods map[string]handler
 	tasks   sync.WaitGroup
+	lines   boundedLog
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]bool
@@ -82,8 +83,8 @@
 			return
 		}
 		messages := limiter.MessagesOf(raw)
-		h := boundedHandler{handler: jsonrpc2.HandlerWithError(s.handle), messages: messages}
-		conn := jsonrpc2.NewConn(ctx, newMessageStream(raw, messages), h)
+		h := boundedHandler{handler: jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed(), messages: messages}
+		conn := jsonrpc2.NewConn(ctx, newMessageStream(raw, messages), h, jsonrpc2.SetLogger(&s.lines))
 		s.mu.Lock()
 		s.conns[conn] = true
 		s.mu.Unlock()
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -6,7 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net"
+	"strings"
+	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -76,3 +80,27 @@
 		b.handler.Handle(ctx, conn, request)
 	}()
 }
+
+// logInterval is the shortest time between two log lines about the connections of other entries.
+const logInterval = time.Second
+
+// boundedLog is a jsonrpc2.Logger that writes at most one line in each interval, since each connection that ends early would cause one; the zero value is ready for use.
+type boundedLog struct {
+	mu      sync.Mutex
+	next    time.Time
+	dropped int
+}
+
+// Printf implements jsonrpc2.Logger.
+func (b *boundedLog) Printf(format string, values ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if now.Before(b.next) {
+		b.dropped++
+		return
+	}
+	b.next = now.Add(logInterval)
+	log.Printf("%s (%d lines like this were dropped before)", strings.TrimSpace(fmt.Sprintf(format, values...)), b.dropped)
+	b.dropped = 0
+}
