limiter: Bound the processor time of searches for connections that give way

Cause: each search visits all connections of a listener, and up to 32 waiting bodies and all newcomers start one as soon as the memory is used up; a small VM has 0.144 cores. Change: the pause after a search grows with the connections that it visited, and one search closes at least 8 connections.

--- a/configurer/settings_test.go
+++ b/configurer/settings_test.go
@@ -28,6 +28,8 @@
 		{"an address without a port", `"127.0.0.1:1"`, `"127.0.0.1"`, `httpAddress: "127.0.0.1", accepted is an IP number and a port`},
 		{"a wrong type", `"entry":"e"`, `"entry":7`, "entry: a number, accepted is a value of type string"},
 		{"out of range", `"entry":"e"`, `"entry":"e","drainMillis":60001`, "drainMillis: 60001, accepted are 1 to 60000"},
+		{"too much memory", `"entry":"e"`, `"entry":"e","memoryMb":1048577`, "memoryMb: 1048577, accepted are 0 to 1048576"},
+		{"a negative number of files", `"entry":"e"`, `"entry":"e","maxOpenFiles":-1`, "maxOpenFiles: -1, accepted are 0 to"},
 		{"keys without an operator key", `"entry":"e"`, `"entry":"e","callers":"keys"`, "operatorKeySha256"},
 		{"text after the end", `"s"`, `"s"`, ""},
 	} {
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -17,6 +17,10 @@
 const (
 	// scanInterval is the shortest time between two searches for connections that may give way if the first found too few; each search visits all connections of a class.
 	scanInterval = 50 * time.Millisecond
+	// scanPause is the pause after each search for each connection that it visited: with 2,500 connections 40 ms, which bounds the searches to a few percent of a core.
+	scanPause = 16 * time.Microsecond
+	// minClosed is the smallest number of connections that one search closes if as many make no progress.
+	minClosed = 8
 	// closeDivisor determines how many connections, or how much memory, one search frees: 1/closeDivisor of the share, so that a flood does not cause a search for each of its connections.
 	closeDivisor = 64
 	// maxWaiting is the number of bodies that wait for memory at the same time; each leaves a full receive buffer in its socket.
@@ -70,7 +74,7 @@
 	ok := b.shares.connections.take(c.class, 1)
 	var dropped []*conn
 	if !ok {
-		n := max(1, b.shares.connections.accounts[c.class].max/closeDivisor)
+		n := max(minClosed, b.shares.connections.accounts[c.class].max/closeDivisor)
 		dropped = b.drop(c.class, forConnection, func(sights []sight) []int { return pickForConnection(sights, int(n)) })
 		for _, d := range dropped {
 			b.unregister(d)
@@ -199,9 +203,11 @@
 			dropped = append(dropped, conns[i])
 		}
 	}
+	pause := time.Duration(len(conns)) * scanPause
 	if len(dropped) == 0 {
-		b.nextScan[c][p] = now.Add(scanInterval)
+		pause = max(pause, scanInterval)
 	}
+	b.nextScan[c][p] = now.Add(pause)
 	return dropped
 }
 
