--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -35,7 +35,7 @@
 	storeRetryAfter = time.Second
 	// defaultMaxBody is the body size limit in bytes if the configuration sets none.
 	defaultMaxBody = 256 << 10
-	// largeBody is the size in bytes from which jobs are decoded one at a time: 256 KB of empty steps become 20 MB.
+	// largeBody is the size in bytes from which jobs are decoded one at a time: the steps of a job of 256 KB use several times its size.
 	largeBody = 16 << 10
 )
 
--- a/limiter/cost.go
+++ b/limiter/cost.go
@@ -17,7 +17,7 @@
 	messageFactor = 4
 )
 
-// headerCost estimates the memory in bytes of a header of which so many bytes and line ends have arrived; 16 KB of lines without values use half a megabyte when they are parsed.
+// headerCost estimates the memory in bytes of a header of which so many bytes and line ends have arrived; 16 KB of lines without values allocate 0.4 MB when they are parsed, 93 to 154 bytes a line.
 func headerCost(bytes, lines int64) int64 { return bytes + lines*lineCost }
 
 // headerScan counts the bytes and line ends of a header that arrives in parts. It stops at the end of the header, since a body of small chunks has as many line ends and costs less.
