--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipelift/snipelift/limiter"
 	"github.com/snipelift/snipelift/platform"
 	"github.com/snipelift/snipelift/sleeper"
 )
@@ -141,11 +142,13 @@
 		return nil, nil
 	}
 	defer func() { _ = request.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
-	if err != nil {
+	// The length is known for requests of package platform; a buffer that grows would be copied several times.
+	body := make([]byte, 0, min(max(request.ContentLength, 0), maxBodyBytes)+bytes.MinRead)
+	buffer := bytes.NewBuffer(body)
+	if _, err := buffer.ReadFrom(io.LimitReader(request.Body, maxBodyBytes)); err != nil {
 		return nil, fmt.Errorf("read request: %w", err)
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
 
 // rejected reports whether the store refused the request without executing it.
@@ -334,8 +337,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := readBody(request)
-	if err != nil {
+	body, err := limiter.ReadBody(request, maxBodyBytes)
+	switch {
+	case errors.Is(err, limiter.ErrOverloaded):
+		limiter.Refuse(w)
+		return
+	case errors.Is(err, limiter.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
