acceptor: Export the conversion of a submission to a job

An explanation of a placement needs the same body limit, decoding and conversion as a submission; a second copy could differ from what is run.

No change of behaviour: go test -race ./acceptor passes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -221,11 +221,7 @@
 }
 
 func (a *Acceptor) serveSubmit(c call) {
-	limit := c.snapshot.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := limiter.ReadBody(c.r, limit)
+	body, err := limiter.ReadBody(c.r, MaxBody(c.snapshot))
 	switch {
 	case errors.Is(err, limiter.ErrOverloaded):
 		// The limiter counts and logs these, since a line for each would fill the log.
@@ -238,7 +234,7 @@
 		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, "body cut short", 0)
 		return
 	}
-	submission, err := a.decode(body)
+	submission, err := a.DecodeJob(body)
 	if err != nil {
 		a.refuse(c.w, c.r, c.id, http.StatusBadRequest, err.Error(), 0)
 		return
@@ -246,7 +242,7 @@
 	hash := sha256.New()
 	hash.Write([]byte(c.organisation + "\x00" + c.queue.Name + "\x00"))
 	hash.Write(body)
-	job := registrar.Job{Job: a.newJob(c, submission), Digest: hex.EncodeToString(hash.Sum(nil)[:8])}
+	job := registrar.Job{Job: NewJob(c.id, c.queue, c.organisation, submission, a.Now()), Digest: hex.EncodeToString(hash.Sum(nil)[:8])}
 	value := registrar.Encode(job)
 	if len(value) > registrar.MaxValueBytes {
 		a.refuse(c.w, c.r, c.id, http.StatusRequestEntityTooLarge, "job too large to be stored", 0)
@@ -258,8 +254,16 @@
 	a.respondToSubmit(c, err)
 }
 
-// decode decodes a submitted job; large ones are decoded one at a time.
-func (a *Acceptor) decode(data []byte) (platform.Job, error) {
+// MaxBody returns the limit of the size in bytes of a submission.
+func MaxBody(snapshot *follower.Snapshot) int64 {
+	if snapshot.MaxBodyBytes > 0 {
+		return snapshot.MaxBodyBytes
+	}
+	return defaultMaxBody
+}
+
+// DecodeJob decodes a submitted job; large ones are decoded one at a time.
+func (a *Acceptor) DecodeJob(data []byte) (platform.Job, error) {
 	if len(data) >= largeBody {
 		a.decoding.Lock()
 		defer a.decoding.Unlock()
@@ -286,13 +290,14 @@
 	}
 }
 
-func (a *Acceptor) newJob(c call, submission platform.Job) arranger.Job {
+// NewJob returns the job that a submission of an organisation to a queue describes.
+func NewJob(id string, queue platform.Queue, organisation string, submission platform.Job, accepted time.Time) arranger.Job {
 	job := arranger.Job{
-		ID: c.id, Queue: c.queue.Name, Organisation: c.organisation, Payload: submission.Spec,
-		Accepted: a.Now().UTC(), Occurrences: submission.Occurrences,
+		ID: id, Queue: queue.Name, Organisation: organisation, Payload: submission.Spec,
+		Accepted: accepted.UTC(), Occurrences: submission.Occurrences,
 		FirstDue: time.UnixMilli(int64(submission.FirstMs)).UTC(),
 		Interval: time.Duration(submission.IntervalMs * float64(time.Millisecond)),
-		Policy:   PolicyOf(c.queue),
+		Policy:   PolicyOf(queue),
 	}
 	for _, step := range submission.Steps {
 		need := arranger.Resources{CPU: step.CPU, MemoryMB: step.MemoryMB, Accelerators: step.Accelerators}
