arranger: Explain where a job would be placed now

Operators could see why a job waits only once it was accepted and had waited for a second. Explain runs the search of a planning pass for a job that is not added, and reports workers, racks, speeds, the reason of a wait, excluded workers, preceding units and the expected end.

Ruled out: to place the units that precede it as well, since the present functions commit each placement, and its undoing would touch all of the state. The pass runs on a copy of the arranger; what that shares with it (candidates, readmissions, cached estimates) is restored. roomFor counts the free capacity of the pass, which equals that of the workers at the end of a plan, so that tasks just placed for the explanation count.

--- a/arranger/exclusion.go
+++ b/arranger/exclusion.go
@@ -22,19 +22,29 @@
 // Exclusions counts the workers that planning passes leave out, each one by the first cause that applies, and the
 // accelerators that are free.
 type Exclusions struct {
-	Workers, Schedulable int
+	Workers     int `json:"workers"`
+	Schedulable int `json:"schedulable"`
 	// The causes, in the order in which they apply.
 
-	NotReported, Unreachable, Draining, Evacuated, OrphanOfUnknownSize, Blocked, Quarantined int
+	NotReported         int `json:"notReported"`
+	Unreachable         int `json:"unreachable"`
+	Draining            int `json:"draining"`
+	Evacuated           int `json:"evacuated"`
+	OrphanOfUnknownSize int `json:"orphanOfUnknownSize"`
+	Blocked             int `json:"blocked"`
+	Quarantined         int `json:"quarantined"`
 	// QuarantineEnd is the latest end of a quarantine.
-	QuarantineEnd time.Time
+	QuarantineEnd time.Time `json:"quarantineEnd,omitzero"`
 	// Accelerators are those of all workers, FreeAccelerators neither in use nor claimed, and
 	// SchedulableAccelerators free on workers that take part.
-	Accelerators, FreeAccelerators, SchedulableAccelerators int
+	Accelerators            int `json:"accelerators"`
+	FreeAccelerators        int `json:"freeAccelerators"`
+	SchedulableAccelerators int `json:"schedulableAccelerators"`
 	// Cold is the number of workers on which the number of starts is limited.
-	Cold int
+	Cold int `json:"cold"`
 	// PendingStarts are starts without an outcome, AwaitedReports workers that may run tasks of a previous owner.
-	PendingStarts, AwaitedReports int
+	PendingStarts  int `json:"pendingStarts"`
+	AwaitedReports int `json:"awaitedReports"`
 }
 
 // Counts counts events since the arranger was created.
--- a/arranger/room.go
+++ b/arranger/room.go
@@ -94,7 +94,11 @@
 			rack = &room{}
 			racks[w.Rack] = rack
 		}
-		count := w.free().FitCount(s.step.Need)
+		free := w.free()
+		if w.candidate != nil {
+			free = w.candidate.free
+		}
+		count := free.FitCount(s.step.Need)
 		if s.step.MaxPerWorker > 0 {
 			count = min(count, max(0, s.step.MaxPerWorker-w.countOf(s)))
 		}
--- a/arranger/waiting.go
+++ b/arranger/waiting.go
@@ -271,17 +271,8 @@
 	switch {
 	case reason == waitReports:
 		details = a.awaitedDetails(now)
-	case ps == nil:
-	case reason == waitDeferred:
-		details = []any{"pendingStarts", ps.pendingStarts, "limit", maxPendingStarts}
-	case reason == waitReserve:
-		reason, details = ps.explainCapacity(u)
-		if reason == waitUnexplained || reason == waitClass {
-			reason = waitReserve
-		}
-		details = append(details, "urgentReserve", int(ps.reserve), "gangReserve", ps.gangReserve, "schedulable", ps.accelerators)
-	case reason == waitCapacity || reason == waitClass:
-		reason, details = ps.explainCapacity(u)
+	case ps != nil:
+		reason, details = ps.explainBlock(reason, u)
 	}
 	if p := w.places.oldest; p != nil {
 		details = append(details, "claimed", w.places.claimed, "starting", w.places.starting, "running", w.places.running,
@@ -300,6 +291,24 @@
 	}, details...)...)
 }
 
+// explainBlock returns the detailed reason of a wait whose reason is that of a block, and the figures that it rests on; other reasons stay as they are.
+func (ps *pass) explainBlock(reason waitReason, u unit) (waitReason, []any) {
+	switch reason {
+	case waitDeferred:
+		return reason, []any{"pendingStarts", ps.pendingStarts, "limit", maxPendingStarts}
+	case waitReserve:
+		detailed, details := ps.explainCapacity(u)
+		if detailed == waitUnexplained || detailed == waitClass {
+			detailed = waitReserve
+		}
+		return detailed, append(details, "urgentReserve", int(ps.reserve), "gangReserve", ps.gangReserve, "schedulable", ps.accelerators)
+	case waitCapacity, waitClass:
+		return ps.explainCapacity(u)
+	default:
+		return reason, nil
+	}
+}
+
 // awaitedDetails describes the reports for which inherited jobs wait.
 func (a *Arranger) awaitedDetails(now time.Time) []any {
 	var next, last time.Time
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"time"
@@ -82,6 +83,17 @@
 	return &Estimator{queues: map[string]*queueRecord{}, shapes: map[shape]*shapeRecord{}, steps: map[stepKey]*Runs{}, restored: map[stepKey]*Runs{}}
 }
 
+// View returns an estimator that knows the same, and whose estimates leave e as it is; it must not observe runs.
+func (e *Estimator) View() *Estimator {
+	v := *e
+	v.steps, v.restored = maps.Clone(e.steps), make(map[stepKey]*Runs, len(e.restored))
+	for key, r := range e.restored {
+		own := *r
+		v.restored[key] = &own
+	}
+	return &v
+}
+
 // Changes returns a number that increases with each observation.
 func (e *Estimator) Changes() uint64 { return e.changes }
 
