--- a/director/director.go
+++ b/director/director.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipelift/snipelift/follower"
@@ -53,6 +54,9 @@
 	// SetGauge and ObserveDuration are called with the name and the value of a metric; they may be nil.
 	SetGauge        func(name string, value int64)
 	ObserveDuration func(name string, took time.Duration)
+
+	// current is the term whose state has been loaded, nil while there is none.
+	current atomic.Pointer[term]
 }
 
 // Run takes part in the election until the context ends, then releases the lease if it holds it.
--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -38,9 +38,11 @@
 type entry struct {
 	name   string
 	accept *acceptor.Acceptor
-	link   *storeLink
-	stop   context.CancelFunc
-	done   chan struct{}
+	// director is that of the process.
+	director *director.Director
+	link     *storeLink
+	stop     context.CancelFunc
+	done     chan struct{}
 	// started is when the process started.
 	started time.Time
 }
@@ -112,6 +114,7 @@
 		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
 		Bounds: platform.Bounds{MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 3, EvacuationDeadline: evacuationDeadline, ConfigStretch: evacuationStretch},
 	}
+	e.director = d
 	followed := make(chan struct{})
 	go func() {
 		defer close(followed)
--- a/director/term.go
+++ b/director/term.go
@@ -136,6 +136,8 @@
 	limited := t.limitHandover(ctx, parent)
 	versions, ok := t.load(limited)
 	if ok {
+		t.current.Store(t)
+		defer t.current.Store(nil)
 		t.spawn(func() { t.followJobs(ctx, versions.jobs) })
 		t.spawn(func() { t.followWorkers(ctx, versions.workers) })
 		t.spawn(func() { t.planLoop(ctx) })
