hoster: Serve explanations of placements beside the metrics

POST /placement on the metrics listener takes the body of a submission with the queue and the organisation in the query. Ruled out: the client listener, since an explanation shows workers of the whole service.

go test -race ./hoster passes.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -84,7 +84,8 @@
 	budget := limiter.New(limiter.Detect(p.Settings.MemoryMB, p.Settings.MaxOpenFiles), p.Logger)
 	defer budget.Close()
 	budget.Register(metrics.registry)
-	servers, err := p.listen(ctx, metrics, budget)
+	owner := p.newDirector(store, client, metrics)
+	servers, err := p.listen(ctx, metrics, budget, owner)
 	if err != nil {
 		return err
 	}
@@ -92,7 +93,7 @@
 	var group sync.WaitGroup
 	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() { p.config.Run(follow) })
-	group.Go(func() { p.direct(ctx, store, client, metrics) })
+	group.Go(func() { owner.Run(ctx) })
 	group.Go(func() { p.maintainPeers(ctx) })
 	p.awaitShutdown(ctx)
 	p.drain(servers)
@@ -105,8 +106,8 @@
 // idleConnections returns the maximum number of idle connections for a number of file descriptors: the others are for files, requests in progress and clients.
 func idleConnections(descriptors int) int { return descriptors / idleDivisor }
 
-// direct runs the director, which competes for the lease and acts as the owner while it holds it.
-func (p *Process) direct(ctx context.Context, store *platform.Store, client *http.Client, m *metricSet) {
+// newDirector returns the director, which competes for the lease and acts as the owner while it holds it.
+func (p *Process) newDirector(store *platform.Store, client *http.Client, m *metricSet) *director.Director {
 	d := &director.Director{
 		Node: p.Settings.Node, Incarnation: rand.Text(), Store: store,
 		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
@@ -116,7 +117,7 @@
 	if p.Settings.AdviceAddress != "" {
 		d.Advisor = &platform.Advisor{Client: client, Address: p.Settings.AdviceAddress, Timeout: adviceTimeout}
 	}
-	d.Run(ctx)
+	return d
 }
 
 // awaitShutdown logs requests to reload the settings, and returns when the context is done.
@@ -132,7 +133,7 @@
 }
 
 // listen opens all listeners before it returns, so that the process exits immediately if an address is unavailable.
-func (p *Process) listen(ctx context.Context, m *metricSet, budget *limiter.Budget) ([]*http.Server, error) {
+func (p *Process) listen(ctx context.Context, m *metricSet, budget *limiter.Budget, owner *director.Director) ([]*http.Server, error) {
 	endpoints := []struct {
 		class   limiter.Class
 		address string
@@ -141,7 +142,7 @@
 	}{
 		{limiter.Clients, p.Settings.ClientAddress, m.instrument(p.accept), platform.ClientHeaders()},
 		{limiter.Probes, p.Settings.ReadinessAddress, http.HandlerFunc(p.serveReadiness), nil},
-		{limiter.Metrics, p.Settings.MetricsAddress, m, nil},
+		{limiter.Metrics, p.Settings.MetricsAddress, operatorHandler(m, &placementHandler{accept: p.accept, explain: owner.Explain}), nil},
 		{limiter.Peers, p.Settings.PeerAddress, p.relay, platform.StoreHeaders()},
 	}
 	var servers []*http.Server
