--- a/commands/commands.go
+++ b/commands/commands.go
@@ -60,7 +60,7 @@
 	parser.ShowHelpOnUnexpected = false
 	parser.ShowHelpWithHFlag = true
 	list := []command{
-		newServe(), newDemo(), newSubmit(), newWait(), newCancel(), newStatus(), newExplain(), newPlan(), newMeasure(),
+		newServe(), newDemo(), newSubmit(), newWait(), newCancel(), newStatus(), newExplain(), newPlacement(), newPlan(), newMeasure(),
 	}
 	for _, cmd := range list {
 		parser.AttachSubcommand(cmd.sub, 1)
