messenger: Keep messages that the decoder of an earlier one did not read

Cause: what arrived together with the end of a message was given to the next decoder, which reads 512 bytes at first; what it did not read was discarded. An entry that sent a document or a job of 40 KB followed by several short calls ended its connection, with the outcome of the calls unknown.

Ruled out: the limits of package limiter, which are not set in the test.

Change: the rest is sliced at the end of the message while the decoder has not read all of it.

--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -32,13 +32,18 @@
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (m *messageStream) ReadObject(v any) error {
-	decoder := json.NewDecoder(io.MultiReader(bytes.NewReader(m.rest), m.conn))
+	unread := bytes.NewReader(m.rest)
+	decoder := json.NewDecoder(io.MultiReader(unread, m.conn))
 	if err := decoder.Decode(v); err != nil {
 		return err //nolint:wrapcheck // The connection compares the error with io.EOF.
 	}
-	rest, err := io.ReadAll(decoder.Buffered())
-	if err != nil {
-		return fmt.Errorf("read the rest of a message: %w", err)
+	// The decoder reads the rest in parts, and may not have read all of it.
+	rest := m.rest[min(decoder.InputOffset(), int64(len(m.rest))):]
+	if unread.Len() == 0 {
+		var err error
+		if rest, err = io.ReadAll(decoder.Buffered()); err != nil {
+			return fmt.Errorf("read the rest of a message: %w", err)
+		}
 	}
 	m.rest = bytes.TrimSpace(rest)
 	m.messages.End(len(m.rest))
