limiter: Reject chunked bodies whose connection ends early

Cause: io.ReadFull returns io.ErrUnexpectedEOF both at the end of a body and if the connection ends within a chunk, and both counted as the end. A job whose client broke off before the last chunk was accepted and ran.

Ruled out: bodies of a known length, whose size is compared.

Change: the parts are read with a loop that keeps io.EOF for the end.

Measured: the new test accepted four of five cut bodies before, and none now; the tests of limiter, acceptor, relayer and server pass.

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -57,12 +57,12 @@
 		if err := b.hold(b.size + int64(len(part))); err != nil {
 			return nil, err
 		}
-		n, err := io.ReadFull(b.reader, part)
+		n, err := readFull(b.reader, part)
 		b.size += int64(n)
 		switch {
 		case b.size > b.limit:
 			return nil, ErrTooLarge
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			if b.length >= 0 && b.size < b.length {
 				return nil, io.ErrUnexpectedEOF
 			}
@@ -83,6 +83,16 @@
 	return b.join()
 }
 
+// readFull reads until p is full or an error occurs. Unlike io.ReadFull it returns io.EOF at the end of the body, so that io.ErrUnexpectedEOF always means that the connection ended within a chunk.
+func readFull(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err //nolint:wrapcheck // The caller compares the error with io.EOF.
+}
+
 // hold counts the memory of the parts.
 func (b *bodyReading) hold(size int64) error {
 	if b.conn == nil || b.conn.holdBody(size) {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -293,6 +293,19 @@
 	}
 }
 
+// A chunked body whose connection ended before its last chunk was taken for a complete one.
+func TestChunkedBodyCutShortIsRejected(t *testing.T) {
+	for _, chunks := range []string{"5\r\n[1,2]\r\n", "5\r\n[1,2]\r\n0", "5\r\n[1,2]", "9\r\n[1,2]", "5\r\n[1,2]\r\n0\r\n"} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := ReadBody(r, 1000); err == nil {
+			t.Errorf("%q: got the body %q", chunks, got)
+		}
+	}
+}
+
 // One peer that sent an endless message, or calls without waiting for their results, filled the memory.
 func TestMessagesAndCallsAreBounded(t *testing.T) {
 	b := New(Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000}, slog.New(slog.DiscardHandler))
