limiter: Keep connections whose response is being written

Cause: a request older than 4 s counted as slow by the bytes that arrived in the last 2 to 4 s, also while its response was written and until the server had flushed it. Without idle or stalled connections, a new connection could close the one of a caller that had waited for its result; the outcome was lost.

Ruled out: responses that nobody reads; these still count as stalled after 1 s.

Change: a write has no rate, and the age begins anew when the handler ends.

Measured: the new test saw the rank of slow connections in both cases before, and passes; the tests of limiter pass.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -191,7 +191,8 @@
 	case c.dropped || c.refused || c.closed:
 		s.phase = busy
 	case c.writing:
-		s.phase, s.waiting = body, now.Sub(c.progress)
+		// The rate is that of what arrives, which says nothing of a client that reads.
+		s.phase, s.waiting, s.rate = body, now.Sub(c.progress), slowRate
 	case c.calls > 0 && c.phase == idle:
 		s.phase = busy
 	case c.reading:
@@ -277,10 +278,11 @@
 	return (held == 0 && !charged) || c.budget.charge(c, held, forBody)
 }
 
-// endHandler means that the response is complete, or will be; the server then discards the rest of the body.
+// endHandler means that the response is complete, or will be; the server then discards the rest of the body, whose age does not include the time in the handler.
 func (c *conn) endHandler() {
+	now := time.Now()
 	c.mu.Lock()
-	c.phase, c.progress, c.handled = body, time.Now(), false
+	c.phase, c.progress, c.began, c.handled = body, now, now, false
 	c.mu.Unlock()
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -293,6 +293,38 @@
 	}
 }
 
+// The connection of a request that had waited for a result for long counted as slow while its response was written, by the bytes that arrived, and could be closed.
+func TestResponseAfterALongWaitDoesNotGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000})
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		c := &conn{Conn: far, budget: f.budget, class: Clients}
+		c.beginHandler(100, 0)
+		time.Sleep(2 * slowAge)
+		go func() { _, _ = c.Write([]byte("response")) }()
+		go func() { _, _ = c.Read(make([]byte, 1)) }()
+		rank := func() int {
+			time.Sleep(fairChance / 10)
+			synctest.Wait()
+			return c.sight(time.Now()).rank()
+		}
+		if got := rank(); got != rankNever {
+			t.Errorf("rank %d while the response is being written", got)
+		}
+		_, _ = io.ReadFull(near, make([]byte, len("response")))
+		c.endHandler()
+		if got := rank(); got != rankNever {
+			t.Errorf("rank %d when the handler has ended", got)
+		}
+		time.Sleep(fairChance)
+		if got := rank(); got != rankStalled {
+			t.Errorf("rank %d long after the handler has ended", got)
+		}
+		_ = c.Close()
+	})
+}
+
 // A chunked body whose connection ended before its last chunk was taken for a complete one.
 func TestChunkedBodyCutShortIsRejected(t *testing.T) {
 	for _, chunks := range []string{"5\r\n[1,2]\r\n", "5\r\n[1,2]\r\n0", "5\r\n[1,2]", "9\r\n[1,2]", "5\r\n[1,2]\r\n0\r\n"} {
