limiter: Do not take a pause of the process for stalled clients

Cause: after the process or its VM was frozen for over 1 s, all requests seemed stalled, and the first body without room aborted others whose next bytes waited in their sockets.

Ruled out: a second search before connections give way, since the first one may be the only one for minutes; monotonic time, which continues while a VM is not run.

Change: a timer of 250 ms recognises pauses of more than 1 s. For 1 s afterwards only idle connections give way.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -48,6 +48,9 @@
 	nextScan  [classes][purposes]time.Time
 	waiting   int
 	lingering int
+	// beats recognises pauses of the process; beat is the timer of its signs, nil after Close.
+	beats heartbeat
+	beat  *time.Timer
 }
 
 // purpose is what a search for connections that give way is for.
@@ -60,13 +63,34 @@
 	purposes
 )
 
-// New returns a budget for a process with the limits; closing it ends its log lines.
+// New returns a budget for a process with the limits; closing it ends its log lines and timers.
 func New(limits Limits, logger *slog.Logger) *Budget {
-	return &Budget{shares: limits.divide(), reporter: newReporter(logger)}
+	b := &Budget{shares: limits.divide(), reporter: newReporter(logger)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.beat = time.AfterFunc(beatInterval, b.observeBeat)
+	return b
 }
 
-// Close ends the log lines of the budget.
-func (b *Budget) Close() { b.reporter.close() }
+// observeBeat notes regularly that the process runs.
+func (b *Budget) observeBeat() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.beat == nil {
+		return
+	}
+	b.beats.observe(time.Now())
+	b.beat.Reset(beatInterval)
+}
+
+// Close ends the log lines and timers of the budget.
+func (b *Budget) Close() {
+	b.reporter.close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.beat.Stop()
+	b.beat = nil
+}
 
 // admit counts a new connection, and closes connections that make no progress if there is no room for it; the result is false if there are none.
 func (b *Budget) admit(c *conn) bool {
@@ -185,14 +209,15 @@
 // drop marks the connections that give way, unless they have made progress in the meantime; the caller aborts them.
 func (b *Budget) drop(c Class, p purpose, choose func([]sight) []int) []*conn {
 	now := time.Now()
+	b.beats.observe(now)
 	if now.Before(b.nextScan[c][p]) {
 		return nil
 	}
-	conns := b.conns[c]
+	conns, paused := b.conns[c], b.beats.paused(now)
 	sights := make([]sight, len(conns))
 	for i, d := range conns {
 		sights[i] = d.sight(now)
-		sights[i].held = d.held
+		sights[i].held, sights[i].paused = d.held, paused
 		if p == forHeader {
 			sights[i].held = d.heldHeader
 		}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -325,6 +325,31 @@
 	})
 }
 
+// After a freeze of the VM, bodies whose next bytes waited in their sockets were aborted in favour of the first one that needed memory.
+func TestBodiesSurviveAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000})
+		f.budget.shares.bytes.accounts[Clients].max = 130 << 10
+		first, second := f.dial(), f.dial()
+		first.send("", 100<<10, 98<<10)
+		synctest.Wait()
+		time.Sleep(fairChance / 2)
+		f.budget.mu.Lock()
+		// The last sign of a process that was paused is as old as the pause.
+		f.budget.beats.last = time.Now().Add(-3 * fairChance)
+		f.budget.conns[Clients][0].mu.Lock()
+		f.budget.conns[Clients][0].progress = time.Now().Add(-3 * fairChance)
+		f.budget.conns[Clients][0].mu.Unlock()
+		f.budget.mu.Unlock()
+		go second.send("", 90<<10, 90<<10)
+		synctest.Wait()
+		_, _ = first.Write(make([]byte, 2<<10))
+		first.expect(t, "body that arrived during the pause", http.StatusOK)
+		time.Sleep(waitTime)
+		second.expect(t, "body that waited for memory", http.StatusOK)
+	})
+}
+
 // A chunked body whose connection ended before its last chunk was taken for a complete one.
 func TestChunkedBodyCutShortIsRejected(t *testing.T) {
 	for _, chunks := range []string{"5\r\n[1,2]\r\n", "5\r\n[1,2]\r\n0", "5\r\n[1,2]", "9\r\n[1,2]", "5\r\n[1,2]\r\n0\r\n"} {
--- a/limiter/victim.go
+++ b/limiter/victim.go
@@ -40,8 +40,34 @@
 	rate int64
 	// held is the memory of the request beyond the allowance.
 	held int64
+	// paused means that the process was paused recently, so that the other values say little of the client.
+	paused bool
 }
 
+const (
+	// beatInterval is the time between two signs that the process runs.
+	beatInterval = 250 * time.Millisecond
+	// maxBeatGap is the time without a sign after which the process counts as paused; a process that waits for its share of a core is late by less.
+	maxBeatGap = fairChance
+)
+
+// heartbeat recognises pauses of the process or of the VM, after which all connections seem stalled although bytes wait in their sockets.
+type heartbeat struct {
+	// last is the time of the last sign, and resumed the end of the last pause.
+	last, resumed time.Time
+}
+
+// observe notes that the process runs.
+func (h *heartbeat) observe(now time.Time) {
+	if !h.last.IsZero() && now.Sub(h.last) > maxBeatGap {
+		h.resumed = now
+	}
+	h.last = now
+}
+
+// paused reports whether the process was paused so recently that bytes may still wait in the sockets.
+func (h *heartbeat) paused(now time.Time) bool { return now.Sub(h.resumed) < fairChance }
+
 // The order in which connections give way: idle ones lose nothing, stalled ones make no progress, and slow ones make little.
 const (
 	rankIdle = iota
@@ -56,7 +82,7 @@
 		return rankNever
 	case s.phase == idle && s.waiting >= fairChance:
 		return rankIdle
-	case s.phase == idle:
+	case s.phase == idle || s.paused:
 		return rankNever
 	case s.waiting >= fairChance:
 		return rankStalled
--- a/limiter/victim_test.go
+++ b/limiter/victim_test.go
@@ -58,3 +58,25 @@
 		t.Errorf("rate %d of 10 KB a second", got)
 	}
 }
+
+// After a pause of the process all requests seemed stalled, and those were aborted whose bytes waited in the sockets.
+func TestPauseIsNotAStall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h heartbeat
+	rankAfter := func(d time.Duration) int {
+		now = now.Add(d)
+		h.observe(now)
+		return sight{phase: body, waiting: time.Minute, paused: h.paused(now)}.rank()
+	}
+	for i, step := range []struct {
+		passed time.Duration
+		want   int
+	}{{0, rankStalled}, {beatInterval, rankStalled}, {maxBeatGap, rankStalled}, {5 * time.Second, rankNever}, {fairChance / 2, rankNever}, {fairChance / 2, rankStalled}} {
+		if got := rankAfter(step.passed); got != step.want {
+			t.Errorf("step %d: got rank %d, want %d", i, got, step.want)
+		}
+	}
+	if got := (sight{phase: idle, waiting: time.Minute, paused: true}).rank(); got != rankIdle {
+		t.Errorf("got rank %d of an idle connection, which loses nothing", got)
+	}
+}
