messenger: Accept connections again after a failed accept

Cause: the accept loop ended with the first error, also with EMFILE, so that an entry whose descriptors had been exhausted for a moment was not reached by other entries until it restarted.

Ruled out: ends of the listener, which are net.ErrClosed.

Measured: before, the new test got no response within 10 s; it passes, and so do the tests of messenger and router with -race.

--- a/messenger/server.go
+++ b/messenger/server.go
@@ -6,10 +6,12 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/snipelift/snipelift/limiter"
+	"github.com/snipelift/snipelift/sleeper"
 )
 
 // Handlers handle the calls of other entries; each field serves one method, and Nudge serves MethodDocumentChanged.
@@ -52,6 +54,9 @@
 	}
 }
 
+// acceptPause is the pause after a connection could not be accepted, for example because no descriptor was free.
+const acceptPause = 50 * time.Millisecond
+
 // Serve handles calls on the listener in the background.
 //
 // The returned function closes the listener and all connections and waits for the server's goroutines.
@@ -77,11 +82,16 @@
 }
 
 func (s *rpcServer) accept(ctx context.Context, listener net.Listener) {
-	for {
+	for ctx.Err() == nil {
 		raw, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			s.lines.Printf("accept a connection of another entry: %v", err)
+			sleeper.Sleep(ctx, acceptPause)
+			continue
+		}
 		messages := limiter.MessagesOf(raw)
 		h := boundedHandler{handler: jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed(), messages: messages}
 		conn := jsonrpc2.NewConn(ctx, newMessageStream(raw, messages), h, jsonrpc2.SetLogger(&s.lines))
--- a/messenger/stream_test.go
+++ b/messenger/stream_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/snipelift/snipelift/limiter"
 )
@@ -29,3 +31,39 @@
 		}
 	}
 }
+
+// failingListener returns an error before each connection, as the kernel does while no descriptor is free.
+type failingListener struct {
+	net.Listener
+
+	failed bool
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	if f.failed = !f.failed; f.failed {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return f.Listener.Accept()
+}
+
+// The server accepted no more connections of other entries once the descriptors had been exhausted for a moment.
+func TestServerSurvivesAFailedAccept(t *testing.T) {
+	l, err := limiter.Listen(t.Context(), limiter.Peers, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cleanUp := Serve(&failingListener{Listener: l}, Handlers{})
+	defer cleanUp()
+	for range 2 {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = io.WriteString(conn, `{"jsonrpc":"2.0","id":1,"method":"unknown"}`)
+		if n, err := conn.Read(make([]byte, 1)); n != 1 {
+			t.Errorf("no response: %v", err)
+		}
+		_ = conn.Close()
+	}
+}
