limiter: Bound absurd memory limits

Cause: a setting of 2^44 MB and more overflowed to an arbitrary limit, and one of a few MB set a memory limit of the Go runtime below what the program itself uses, with which it would mostly collect garbage.

Ruled out: 0 and negative values, for which the limit of the VM is used.

Change: the setting counts as at most 1 TB, and the runtime gets at least 24 MB.

--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -72,8 +72,8 @@
 	return min(max(l.MemoryBytes*outsideShare/100, minOutside), maxOutside, l.MemoryBytes/2)
 }
 
-// GoMemoryBytes returns the memory limit for the Go runtime (debug.SetMemoryLimit).
-func (l Limits) GoMemoryBytes() int64 { return l.MemoryBytes - l.outsideBytes() }
+// GoMemoryBytes returns the memory limit for the Go runtime (debug.SetMemoryLimit); below minOwn the process would do little but collect garbage.
+func (l Limits) GoMemoryBytes() int64 { return max(l.MemoryBytes-l.outsideBytes(), minOwn) }
 
 // shares are the parts of connections and of memory for large requests by class.
 type shares struct {
--- a/limiter/shares_test.go
+++ b/limiter/shares_test.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 const fourThousandLines = 20 << 10 / 3
 
@@ -32,6 +35,19 @@
 	}
 }
 
+// A limit in the settings that no VM has set no limit at all, or one below what the program itself uses.
+func TestAbsurdMemoryLimits(t *testing.T) {
+	for _, memoryMB := range []int{-1, 0, 1, 20, 1<<44 + 1, math.MaxInt} {
+		l := Detect(memoryMB, 0)
+		if got := l.GoMemoryBytes(); got < minOwn || got > unlimitedMemory || (memoryMB > 1<<40 && got < unlimitedMemory/2) {
+			t.Errorf("%d MB: the limit of the Go runtime is %d bytes", memoryMB, got)
+		}
+		if s := l.divide(); s.connections.total < 2*reserveDivisor || s.bytes.total < minRequestBytes {
+			t.Errorf("%d MB: %d connections, %d bytes", memoryMB, s.connections.total, s.bytes.total)
+		}
+	}
+}
+
 func TestFloodOfOneClassLeavesTheReserveOfOthers(t *testing.T) {
 	l := ledger{total: 100, accounts: [classes]account{Clients: {max: 100}, Peers: {reserved: 10, max: 50}, Probes: {reserved: 2, max: 4}, Metrics: {reserved: 2, max: 4}}}
 	for l.take(Clients, 1) {
--- a/limiter/system.go
+++ b/limiter/system.go
@@ -10,7 +10,7 @@
 
 // Detect returns the given limits, with those of the VM and of the process in place of values of 0.
 func Detect(memoryMB, openFiles int) Limits {
-	l := Limits{MemoryBytes: int64(memoryMB) * mebibyte, OpenFiles: openFiles}
+	l := Limits{MemoryBytes: min(int64(memoryMB), unlimitedMemory/mebibyte) * mebibyte, OpenFiles: openFiles}
 	if l.MemoryBytes <= 0 {
 		l.MemoryBytes = min(controlGroupMemory(), machineMemory())
 	}
