--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -293,6 +293,76 @@
 	}
 }
 
+// The connection of a request that had waited for a result for long counted as slow while its response was written, by the bytes that arrived, and could be closed.
+func TestResponseAfterALongWaitDoesNotGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000})
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		c := &conn{Conn: far, budget: f.budget, class: Clients}
+		c.beginHandler(100, 0)
+		time.Sleep(2 * slowAge)
+		go func() { _, _ = c.Write([]byte("response")) }()
+		go func() { _, _ = c.Read(make([]byte, 1)) }()
+		rank := func() int {
+			time.Sleep(fairChance / 10)
+			synctest.Wait()
+			return c.sight(time.Now()).rank()
+		}
+		if got := rank(); got != rankNever {
+			t.Errorf("rank %d while the response is being written", got)
+		}
+		_, _ = io.ReadFull(near, make([]byte, len("response")))
+		c.endHandler()
+		if got := rank(); got != rankNever {
+			t.Errorf("rank %d when the handler has ended", got)
+		}
+		time.Sleep(fairChance)
+		if got := rank(); got != rankStalled {
+			t.Errorf("rank %d long after the handler has ended", got)
+		}
+		_ = c.Close()
+	})
+}
+
+// After a freeze of the VM, bodies whose next bytes waited in their sockets were aborted in favour of the first one that needed memory.
+func TestBodiesSurviveAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000})
+		f.budget.shares.bytes.accounts[Clients].max = 130 << 10
+		first, second := f.dial(), f.dial()
+		first.send("", 100<<10, 98<<10)
+		synctest.Wait()
+		time.Sleep(fairChance / 2)
+		f.budget.mu.Lock()
+		// The last sign of a process that was paused is as old as the pause.
+		f.budget.beats.last = time.Now().Add(-3 * fairChance)
+		f.budget.conns[Clients][0].mu.Lock()
+		f.budget.conns[Clients][0].progress = time.Now().Add(-3 * fairChance)
+		f.budget.conns[Clients][0].mu.Unlock()
+		f.budget.mu.Unlock()
+		go second.send("", 90<<10, 90<<10)
+		synctest.Wait()
+		_, _ = first.Write(make([]byte, 2<<10))
+		first.expect(t, "body that arrived during the pause", http.StatusOK)
+		time.Sleep(waitTime)
+		second.expect(t, "body that waited for memory", http.StatusOK)
+	})
+}
+
+// A chunked body whose connection ended before its last chunk was taken for a complete one.
+func TestChunkedBodyCutShortIsRejected(t *testing.T) {
+	for _, chunks := range []string{"5\r\n[1,2]\r\n", "5\r\n[1,2]\r\n0", "5\r\n[1,2]", "9\r\n[1,2]", "5\r\n[1,2]\r\n0\r\n"} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := ReadBody(r, 1000); err == nil {
+			t.Errorf("%q: got the body %q", chunks, got)
+		}
+	}
+}
+
 // One peer that sent an endless message, or calls without waiting for their results, filled the memory.
 func TestMessagesAndCallsAreBounded(t *testing.T) {
 	b := New(Limits{MemoryBytes: 64 * mebibyte, OpenFiles: 1000}, slog.New(slog.DiscardHandler))
