arranger: Keep claims that wait for a run within the time of guaranteed work

Cause: a claim that waits for a run was kept for 3.3 s (twice the stop time of 0.9 s and the margin of 1.5 s). If its worker became unreachable or drained meanwhile, the next claim took another 0.9 s, or 1.8 s if it waited again: more than the 3.4 s in which guaranteed work has to start. Waits were also marked on the runs only, so that a run whose claim had been released was stopped for a later claim that waits for another run of the same worker. Ruled out: evacuation alone, after which claims are released at once; runs that move, whose places are new and not marked. Change: a claim ends after the stop time and the margin, whether it waits or not; a task waits only once before it starts; a claim lists the runs that it waits for, and only these are stopped for it.

--- a/arranger/await.go
+++ b/arranger/await.go
@@ -5,7 +5,9 @@
 // Urgent gangs that come into a full fleet preempt other runs. Some of these are
 // about to end: stopping them discards seconds of work to gain less time than a
 // stop takes. Such runs are waited for instead, and stopped only if they do not
-// end as soon as expected.
+// end as soon as expected. A task waits only once before it starts, and its claim is
+// kept no longer than others, so that the time in which guaranteed work has to start
+// is still enough for a second claim if the first one fails.
 
 // maxRemainderFactor limits the factor by which the loss of stopping a run increases as what remains of it decreases.
 const maxRemainderFactor = 4
@@ -53,30 +55,17 @@
 		"expectedEnd", end.expected.Sub(now).String(), "for", u.stage.job.ID, "rank", int(u.rank))
 }
 
-// stopOverdueRuns stops the runs that have not ended as soon as expected while capacity on their workers is still claimed.
+// stopOverdueRuns stops the runs that have not ended as soon as expected while a claim waits for them.
 func (a *Arranger) stopOverdueRuns(now time.Time) {
 	for _, group := range a.claims {
-		if !group[0].awaits {
-			continue
-		}
-		for _, claim := range group {
-			for _, p := range claim.worker.places {
-				if p.awaitUntil.IsZero() || now.Before(p.awaitUntil) || p.state != placeStarting && p.state != placeRunning {
-					continue
-				}
-				a.counts.RunsOverdue++
-				a.options.Log("awaited run has not ended", "task", p.task.label(), "run", p.run, "worker", p.worker.ID, "percent", p.percent,
-					"for", claim.task.stage.job.ID)
-				a.stopRunOrGang(p, "preempted by "+claim.task.stage.job.ID)
+		for _, p := range group[0].awaits {
+			if now.Before(p.awaitUntil) || p.task.place != p || p.state != placeStarting && p.state != placeRunning {
+				continue
 			}
+			a.counts.RunsOverdue++
+			a.options.Log("awaited run has not ended", "task", p.task.label(), "run", p.run, "worker", p.worker.ID, "percent", p.percent,
+				"for", group[0].task.stage.job.ID)
+			a.stopRunOrGang(p, "preempted by "+group[0].task.stage.job.ID)
 		}
 	}
 }
-
-// claimedFor returns how long the claim is kept: the runs that it waits for may have to be stopped in the end.
-func (p *place) claimedFor(stopTime time.Duration) time.Duration {
-	if p.awaits {
-		return 2*stopTime + claimMargin
-	}
-	return stopTime + claimMargin
-}
--- a/arranger/await_test.go
+++ b/arranger/await_test.go
@@ -76,3 +76,78 @@
 		t.Errorf("got stops %+v, want the run that has 30 s left, not %v", o.Stops, ending.Task)
 	}
 }
+
+// Guaranteed work has to start within 3.4 s: a claim that waited for a run on a worker that became unavailable was kept for 3.3 s, and the
+// next one waited for another run.
+func TestGuaranteedWorkStartsInTimeAlthoughItsAwaitedWorkerIsLost(t *testing.T) {
+	const stopTime, maxReclaimTime, step = 900 * time.Millisecond, 3400 * time.Millisecond, 20 * time.Millisecond
+	for name, lose := range map[string]func(h *harness, w Worker){
+		"unreachable": func(h *harness, w Worker) { h.SetReachable(h.now, w.ID, false) },
+		"draining":    func(h *harness, w Worker) { w.Draining = true; h.SetWorker(h.now, w) },
+		"evacuated": func(h *harness, w Worker) {
+			w.Zone = "zone"
+			h.SetWorker(h.now, w)
+			h.evacuate(nil, "zone")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, ending, _ := newAwaitHarness(t)
+			h.options.StopTime = stopTime
+			claimed := h.now.Add(time.Millisecond)
+			if o := h.planAfter(time.Millisecond); len(o.Stops) != 0 {
+				t.Fatalf("got stops %+v, want the urgent job to wait", o.Stops)
+			}
+			// The run of the other worker is about to end when the claim is given up, and does not end.
+			h.addWorker("other", "r1-0")
+			h.AddJob(h.now, jobOf("other", 2, single(1, 8)), Progress{}, false)
+			other := h.planAfter(time.Millisecond).Starts
+			h.confirmStarts(Orders{Starts: other})
+			if len(other) != 1 {
+				t.Fatalf("got starts %+v, want that of the other job", other)
+			}
+			lose(h, h.workers[ending.Worker].Worker)
+			var stopEnds time.Time
+			for h.now.Sub(claimed) <= maxReclaimTime {
+				o := h.planAfter(step)
+				if len(o.Starts) == 1 && o.Starts[0].Task.Job == "urgent" {
+					return
+				}
+				for _, s := range o.Stops {
+					if s.Worker == "other" {
+						stopEnds = h.now.Add(stopTime - step)
+					}
+				}
+				if !stopEnds.IsZero() && !h.now.Before(stopEnds) {
+					h.endRun("other", other[0].Task, other[0].Run, EndedInterrupted)
+					continue
+				}
+				percent := min(99, int(h.now.Sub(claimed)/(30*time.Millisecond)))
+				h.HandleReport(h.now, Report{Worker: "other", RequestedAt: h.now, Running: []RunReport{{Task: other[0].Task.String(), Run: other[0].Run, Percent: percent}}})
+			}
+			t.Errorf("the urgent job has not started after %v", maxReclaimTime)
+		})
+	}
+}
+
+// A run for which a released claim had waited was stopped for a later claim that waits for another run of its worker.
+func TestARunIsNotStoppedForAClaimThatDoesNotNeedIt(t *testing.T) {
+	h, ending, long := newAwaitHarness(t)
+	h.planAfter(time.Millisecond)
+	h.evacuate(nil, "")
+	h.CancelJob("urgent")
+	h.planAfter(h.options.StopTime / 2)
+	h.evacuate([]string{""})
+	h.now = h.now.Add(h.options.StopTime)
+	for i, percent := range []int{20, 94} {
+		h.now = h.now.Add(time.Second)
+		h.HandleReport(h.now, Report{Worker: "w0-0", RequestedAt: h.now, Running: []RunReport{
+			{Task: ending.Task.String(), Run: ending.Run, Percent: 95 + i}, {Task: long.Task.String(), Run: long.Run, Percent: percent},
+		}})
+	}
+	h.AddJob(h.now, jobOf("later", 0, single(1, 4)), Progress{}, false)
+	for range 2 {
+		if o := h.planAfter(time.Millisecond); len(o.Stops) != 0 {
+			t.Fatalf("got stops %+v, want the urgent job to wait for the run at 94%%", o.Stops)
+		}
+	}
+}
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// claimMargin is how long a claim is kept beyond the maximum stop time before the task is placed again.
+	// claimMargin is how long a claim is kept beyond the maximum stop time before the task is placed again. A claim may wait
+	// for as long as a stop takes before it stops a run, so that this has to be longer than the maximum stop time, of 0.9 s.
 	claimMargin = 1500 * time.Millisecond
 	// stopRetryInterval is the time after which a stop without effect is ordered again.
 	stopRetryInterval = time.Second
@@ -256,7 +257,7 @@
 			}
 		case a.canStart(now, group):
 			a.start(now, group, "claimed capacity is free")
-		case now.Sub(group[0].placedAt) > group[0].claimedFor(a.options.StopTime):
+		case now.Sub(group[0].placedAt) > a.options.StopTime+claimMargin:
 			a.options.Log("claim timed out", "task", group[0].task.label())
 			a.counts.ClaimsTimedOut++
 			group[0].task.stage.wait.failedStarts++
@@ -317,7 +318,7 @@
 		p.state = placeStarting
 		p.placedAt = now
 		p.worker.cold.starts++
-		p.task.trial = nil
+		p.task.trial, p.task.awaited = nil, false
 		p.resumed = p.task.checkpoint != ""
 		ticket, _ := p.task.stage.ticketFor(p.worker, now)
 		p.estimate = estimate
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -40,8 +40,8 @@
 	estimate *estimator.Estimate
 	// awaitUntil is when the run is stopped if capacity that it uses is still claimed then; zero if no claim waits for it.
 	awaitUntil time.Time
-	// awaits means that the claim waits for such runs.
-	awaits  bool
+	// awaits are the runs for whose end the claim waits, and those of the other members of its gang.
+	awaits  []*place
 	percent int
 	// progressedAt is when the percentage last rose; firstProgressAt is when it first was above zero, at
 	// firstPercent.
@@ -67,7 +67,9 @@
 	cachedLabel string
 	index       int
 	done        bool
-	place       *place
+	// awaited means that a claim of the task has waited for a run since its latest start.
+	awaited bool
+	place   *place
 	// lastRun is the highest run number used so far.
 	lastRun int64
 	// failedRuns are the numbers of the failed runs; failures may be reported out of order and more than once.
--- a/arranger/survey.go
+++ b/arranger/survey.go
@@ -421,10 +421,11 @@
 	if u.stage == ps.retried {
 		a.options.Log("room found for a unit whose class had none", "job", u.stage.job.ID, "step", u.stage.stepName(), "tasks", len(tasks), "need", u.stage.step.Need)
 	}
-	awaits := false
+	var awaits []*place
+	mayAwait := !slices.ContainsFunc(tasks, func(t *task) bool { return t.awaited })
 	for _, victim := range p.victims {
-		if ps.removalOf(victim).endsSoon {
-			awaits = true
+		if mayAwait && ps.removalOf(victim).endsSoon {
+			awaits = append(awaits, victim)
 			a.await(ps.now, victim, u)
 		} else {
 			a.options.Log("run preempted", "task", victim.task.label(), "run", victim.run,
@@ -440,7 +441,7 @@
 		cand := p.candidates[i]
 		need := t.stage.step.Need
 		pl := &place{task: t, worker: cand.worker, state: placeClaimed, placedAt: ps.now, awaits: awaits}
-		t.place = pl
+		t.place, t.awaited = pl, t.awaited || len(awaits) > 0
 		cand.worker.places = append(cand.worker.places, pl)
 		cand.free = cand.free.Sub(need)
 		cand.freeAfterStops = cand.freeAfterStops.Sub(need)
