arranger: Defer by the time allowed that latest starts use

Cause: fairness measured the period from acceptance to deadline by declared run times, while the latest start that it shifts follows the learned ones. Work whose declared run time is four times the true one was deferred by up to four times as long. Ruled out: the sum of deferral and latest start, which is compared with values of the same kind. Change: the unit holds the time allowed, and the deferral is a part of that. Long-running work has none and is not deferred, as before. Result: the new case "learned run time" fails before (the later unit precedes) and passes now.

--- a/arranger/fairness.go
+++ b/arranger/fairness.go
@@ -84,10 +84,7 @@
 		if u.lateness == worthless {
 			continue
 		}
-		if !u.stage.step.LongRunning {
-			steps := fairnessSteps(f.through(u.rank), f.share)
-			u.deferral = time.Duration(fairnessStep * float64(steps) * float64(j.deadline.Sub(j.Accepted)))
-		}
+		u.deferral = scale(u.allowed, fairnessStep*float64(fairnessSteps(f.through(u.rank), f.share)))
 		if f.lastRank == u.rank && f.lastLateness == u.lateness && u.latestStart.Add(u.deferral).Before(f.last) {
 			// The order of one organisation's own units stays.
 			u.deferral = f.last.Sub(u.latestStart)
--- a/arranger/fairness_test.go
+++ b/arranger/fairness_test.go
@@ -90,17 +90,25 @@
 		// after is how much later than that of "early" the job of "later" is accepted.
 		after time.Duration
 		first string
+		// runTime is what has been learned of the run time; 0 if nothing has.
+		runTime time.Duration
 	}{
-		{"equal use", nil, map[string]int{"early": 7, "later": 7}, 2 * time.Second, "early"},
-		{"comparable use", nil, map[string]int{"early": 9, "later": 5}, 2 * time.Second, "early"},
-		{"much more use", nil, map[string]int{"early": 13, "later": 1}, 2 * time.Second, "later"},
-		{"much more use within a guarantee", map[string]int{"early": 128}, map[string]int{"early": 13, "later": 1}, 2 * time.Second, "early"},
+		{"equal use", nil, map[string]int{"early": 7, "later": 7}, 2 * time.Second, "early", 0},
+		{"comparable use", nil, map[string]int{"early": 9, "later": 5}, 2 * time.Second, "early", 0},
+		{"much more use", nil, map[string]int{"early": 13, "later": 1}, 2 * time.Second, "later", 0},
+		{"much more use within a guarantee", map[string]int{"early": 128}, map[string]int{"early": 13, "later": 1}, 2 * time.Second, "early", 0},
 		// A unit is deferred, but precedes what is accepted long after it.
-		{"much more use, waits for long", nil, map[string]int{"early": 13, "later": 1}, 14 * time.Second, "early"},
+		{"much more use, waits for long", nil, map[string]int{"early": 13, "later": 1}, 14 * time.Second, "early", 0},
+		// The period from acceptance to deadline is that of the true run time.
+		{"much more use, declared run time", nil, map[string]int{"early": 13, "later": 1}, 3800 * time.Millisecond, "later", 0},
+		{"much more use, learned run time", nil, map[string]int{"early": 13, "later": 1}, 3800 * time.Millisecond, "early", 2 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, 1, 16)
 			h.SetGuarantees(test.guaranteed)
+			if test.runTime > 0 {
+				h.learnQueue("q", single(1, 8).Estimate, test.runTime)
+			}
 			for _, organisation := range []string{"early", "later"} {
 				for i := range test.jobs[organisation] {
 					h.addOrganisationJob(organisation, i)
--- a/arranger/plan.go
+++ b/arranger/plan.go
@@ -52,6 +52,8 @@
 	lateness lateness
 	// latestStart is when the job has to start to meet its deadline.
 	latestStart time.Time
+	// allowed is the time from the acceptance of the job to its deadline; 0 for long-running tasks.
+	allowed time.Duration
 	// deferral is how much later than by latestStart the unit is placed, since its organisation uses more than its share.
 	deferral time.Duration
 }
@@ -144,7 +146,7 @@
 	remaining := a.remainingTime(now, j, s.occurrence)
 	due := j.due(s.occurrence)
 	allowed := a.allowedTime(now, j)
-	u := unit{stage: s, rank: r, latestStart: due.Add(allowed - remaining)}
+	u := unit{stage: s, rank: r, latestStart: due.Add(allowed - remaining), allowed: allowed}
 	switch {
 	case now.Before(u.latestStart):
 		u.lateness = onTime
