arranger: Leave out runs on cold workers when learning

Cause: runs on workers that have just started or whose zone has returned take longer. They counted as whole for the work of their step and queue, and their pace lowered the rating of their worker. Ruled out: counting them as censored, since their work is at most their run time, while a censored run has at least that. Change: a run whose worker was cold at its start or at a report gives no run time, neither when it ends nor by projection; a pace begins with the first report of a worker that is warm.

--- a/arranger/cold_test.go
+++ b/arranger/cold_test.go
@@ -107,3 +107,46 @@
 		}
 	}
 }
+
+// Runs on workers that were cold taught the owner run times and speeds of which warm workers have nothing.
+func TestRunsOnColdWorkersTeachNothing(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		gang     bool
+		progress bool
+		warm     bool
+	}{
+		{"single", false, false, false},
+		{"single, warm", false, false, true},
+		{"single with progress", false, true, false},
+		{"single with progress, warm", false, true, true},
+		{"gang", true, false, false},
+		{"gang, warm", true, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newColdHarness(t, 0, 1, 2)
+			if !test.warm {
+				h.cool("zone-0")
+			}
+			step := single(2, 8)
+			step.Gang = test.gang
+			h.AddJob(h.now, jobOf("j", 2, step), Progress{}, false)
+			o := h.planAfter(time.Second)
+			h.confirmStarts(o)
+			for percent := 20; test.progress && percent < 100; percent += 20 {
+				h.now = h.now.Add(time.Second)
+				h.reportAll(percent)
+			}
+			// When the run ends the worker is warm.
+			h.now = h.now.Add(coldTime)
+			first := o.Starts[0]
+			h.endRun(first.Worker, first.Task, first.Run, EndedDone)
+			if learned := h.RunTimes().Changes() > 0; learned != test.warm {
+				t.Errorf("run time learned: %t", learned)
+			}
+			if rated := len(h.workers[first.Worker].rating.observations) > 0; rated != (test.warm && !test.gang) {
+				t.Errorf("speed observed: %t", rated)
+			}
+		})
+	}
+}
--- a/arranger/pace.go
+++ b/arranger/pace.go
@@ -239,6 +239,11 @@
 
 // observePace records the pace of a run from its progress.
 func (a *Arranger) observePace(now time.Time, p *place) {
+	if a.isCold(now, p.worker) {
+		// The next pace begins with the first report after that.
+		p.pace.since = time.Time{}
+		return
+	}
 	if p.state == placeRunning && p.pace.record(now, p.percent) && p.showsSpeed() {
 		a.speeds.observe(now, p, p.pace.current*a.remoteSlowdown(p), p.pace.logError)
 	}
@@ -248,7 +253,7 @@
 // pace of the slowest one, and a run that went on from a checkpoint is not a whole one.
 func (a *Arranger) observeEndPace(now time.Time, p *place) {
 	step := p.task.stage.step
-	if p.observation != nil || p.startedAt.IsZero() || p.state != placeRunning || step.Gang || step.Checkpoints || !p.showsSpeed() {
+	if p.observation != nil || p.startedAt.IsZero() || p.cold || p.state != placeRunning || step.Gang || step.Checkpoints || !p.showsSpeed() {
 		return
 	}
 	elapsed := now.Sub(p.startedAt)
--- a/arranger/report.go
+++ b/arranger/report.go
@@ -172,6 +172,7 @@
 		}
 	}
 	p.percent = r.Percent
+	p.cold = p.cold || a.isCold(now, p.worker)
 	a.observePace(now, p)
 }
 
@@ -393,6 +394,7 @@
 	if p.state == placeStarting {
 		p.state = placeRunning
 		p.confirmedAt, p.startedAt, p.runningSince = now, now, now
+		p.cold = a.isCold(now, p.worker)
 		a.dirty[p.task.stage.job.ID] = true
 	}
 	p.worker.unanswered = unansweredStarts{}
--- a/arranger/runtimes.go
+++ b/arranger/runtimes.go
@@ -152,7 +152,7 @@
 // projectedRunTime returns the whole run time of an unfinished run by its progress, or its run time so far if that does not
 // tell yet (censored); ok is false if neither is known.
 func (p *place) projectedRunTime(now time.Time) (runTime time.Duration, censored, ok bool) {
-	if p.state != placeRunning || p.resumed {
+	if p.state != placeRunning || p.resumed || p.cold {
 		return 0, false, false
 	}
 	if p.runningSince.IsZero() {
@@ -338,10 +338,10 @@
 // observeEnd records the run time of a completed run, for a gang that of its first member to be reported.
 func (a *Arranger) observeEnd(now time.Time, p *place) {
 	s := p.task.stage
-	since, whole := p.runningSince, !p.resumed && !p.runningSince.IsZero()
+	since, whole := p.runningSince, p.whole()
 	if s.step.Gang {
 		for _, t := range s.tasks {
-			whole = whole && t.place != nil && !t.place.resumed && !t.place.runningSince.IsZero()
+			whole = whole && t.place != nil && t.place.whole()
 			if t.place != nil {
 				// The members wait for each other.
 				since = latest(since, t.place.runningSince)
@@ -359,10 +359,13 @@
 	e.runs.Observe(now, estimator.Sample{Work: work}, e.live)
 }
 
+// whole reports whether the time of the run since its start tells the work of its task.
+func (p *place) whole() bool { return !p.resumed && !p.cold && !p.runningSince.IsZero() }
+
 // observeInterruption records how long a run has taken that was stopped or failed before its end.
 func (a *Arranger) observeInterruption(p *place) {
 	s := p.task.stage
-	if s.step.Gang || s.step.LongRunning || p.resumed || p.runningSince.IsZero() || p.firstProgressAt.IsZero() {
+	if s.step.Gang || s.step.LongRunning || !p.whole() || p.firstProgressAt.IsZero() {
 		return
 	}
 	// After its latest progress it may have been paused.
--- a/arranger/state.go
+++ b/arranger/state.go
@@ -36,6 +36,9 @@
 	// that the run continues from a checkpoint.
 	runningSince time.Time
 	resumed      bool
+	// cold means that the worker was cold when the start was confirmed or at a report of the run since, so that its run time tells
+	// neither the work nor the speed.
+	cold bool
 	// estimate is the estimated work at the placement; nil if unknown.
 	estimate *estimator.Estimate
 	// awaitUntil is when the run is stopped if capacity that it uses is still claimed then; zero if no claim waits for it.
