director: Shut down within short grace periods

Cause: an owner that shuts down goes on for half of the grace period and then waits up to 0.5 s for a write and up to 1.5 s for the release. With a grace period below 4 s this is longer than the period, so that the process is killed if the store is away. Ruled out: the listeners, which close within 1.5 s of the signal at such periods, and the record of the shutdown, which takes up to 0.8 s. Change: the two waits are at most a twelfth and a quarter of the grace period, as they are with the default of 6 s. Result: the new test fails before (2 s, store silent: 3 s; store busy: 2.5 s; 3 s, store silent: 3.5 s; store busy: 3.06 s) and passes now.

--- a/director/fleet_test.go
+++ b/director/fleet_test.go
@@ -26,6 +26,8 @@
 
 // service is a complete service in one process: a fake platform and a number of entry VMs.
 type service struct {
+	// grace is the grace period of entry VMs that start from now on.
+	grace   time.Duration
 	t       *testing.T
 	board   *faker.HTTPNetwork
 	store   *faker.RowStore
@@ -110,7 +112,7 @@
 		Workers: &platform.Workers{Client: client, Timeout: 900 * time.Millisecond},
 		Advisor: &platform.Advisor{Client: client, Address: adviceAddress, Timeout: 5 * time.Second},
 		Config:  config, Logger: log, Clock: func() time.Duration { return time.Since(began) + time.Hour },
-		Bounds: platform.Bounds{MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 3, EvacuationDeadline: evacuationDeadline, ConfigStretch: evacuationStretch},
+		Bounds: platform.Bounds{MaxLease: 10 * time.Second, StopTime: 400 * time.Millisecond, StatusRetention: time.Minute, RemoteFactor: 3, EvacuationDeadline: evacuationDeadline, ConfigStretch: evacuationStretch, GracePeriod: s.grace},
 	}
 	followed := make(chan struct{})
 	go func() {
--- a/director/handover.go
+++ b/director/handover.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -16,13 +17,14 @@
 	leavingDelay = 150 * time.Millisecond
 	// announcementTime is how long a successor is announced before the lease is released; every VM polls the lease once in this time, of 600 ms at most.
 	announcementTime = 700 * time.Millisecond
-	// defaultHandoverLimit is how long an owner that shuts down tries to announce a successor if the settings contain no grace period.
-	defaultHandoverLimit = 3 * time.Second
-	// releaseTimeout bounds the last writes of an owner that shuts down; a slow store takes a quarter of a second for each.
+	// defaultGrace is the grace period if the settings contain none.
+	defaultGrace = 6 * time.Second
+	// releaseTimeout bounds the last writes of an owner that shuts down; a slow store takes a quarter of a second for each. It is at most a quarter
+	// of the grace period.
 	releaseTimeout = 1500 * time.Millisecond
 	// maxReleaseWrites is the number of writes of an owner that shuts down, the first of which releases the lease.
 	maxReleaseWrites = 3
-	// lastWriteTimeout bounds the wait for a write in progress before the release.
+	// lastWriteTimeout bounds the wait for a write in progress before the release. It is at most a twelfth of the grace period.
 	lastWriteTimeout = 500 * time.Millisecond
 	// successorHeadStart is how much longer than the named successor other VMs wait for a released lease.
 	successorHeadStart = 300 * time.Millisecond
@@ -69,13 +71,11 @@
 	return limited
 }
 
+// gracePeriod returns the time from the signal to shut down to the kill of the process.
+func (t *term) gracePeriod() time.Duration { return cmp.Or(t.Bounds.GracePeriod, defaultGrace) }
+
 // handoverLimit returns how long an owner that shuts down may go on: half of the grace period, since the listeners close then.
-func (t *term) handoverLimit() time.Duration {
-	if t.Bounds.GracePeriod > 0 {
-		return t.Bounds.GracePeriod / 2
-	}
-	return defaultHandoverLimit
-}
+func (t *term) handoverLimit() time.Duration { return t.gracePeriod() / 2 }
 
 // announce writes the name of the successor with the next renewal of the lease and reports whether that was confirmed in time.
 func (t *term) announce(ctx context.Context, successor string) bool {
@@ -119,7 +119,7 @@
 // releaseLease writes the remaining changes and releases the lease, so that another VM can acquire it at once. Changes that do not fit are left to the next
 // owner, which learns them from the workers.
 func (t *term) releaseLease() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), min(releaseTimeout, t.gracePeriod()/4))
 	defer cancel()
 	t.lease.Released = true
 	for written := 0; written < maxReleaseWrites && ctx.Err() == nil; {
--- a/director/handover_test.go
+++ b/director/handover_test.go
@@ -209,3 +209,30 @@
 		})
 	}
 }
+
+// An owner with a grace period of 2 s took 3 s to shut down while the store gave no response, so that it was killed.
+func TestAnOwnerShutsDownWithinItsGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 6 * time.Second} {
+		for name, faults := range map[string]faker.RowFaults{"silent": {Silent: true}, "busy": {Busy: true}, "slow": {Delay: 600 * time.Millisecond}} {
+			t.Run(fmt.Sprintf("%s, store %s", grace, name), func(t *testing.T) {
+				runService(t, 1, 2, func(s *service) {
+					s.grace = grace
+					s.owner().stop()
+					owner := s.startEntry("short")
+					time.Sleep(2 * time.Second)
+					if s.owner() != owner {
+						t.Fatal("the VM with the short grace period is not the owner")
+					}
+					s.store.SetFaults(faults)
+					stopped := time.Now()
+					owner.stop()
+					<-owner.done
+					if took := time.Since(stopped); took > grace {
+						t.Errorf("shut down after %s, want at most %s", took, grace)
+					}
+					s.store.SetFaults(faker.RowFaults{})
+				})
+			})
+		}
+	}
+}
--- a/director/term.go
+++ b/director/term.go
@@ -153,7 +153,7 @@
 		close(t.closing)
 		select {
 		case <-t.writesEnded:
-		case <-time.After(lastWriteTimeout):
+		case <-time.After(min(lastWriteTimeout, t.gracePeriod()/12)):
 		}
 	}
 	lost := ctx.Err() != nil
