--- a/arranger/state.go
+++ b/arranger/state.go
@@ -36,12 +36,15 @@
 	// that the run continues from a checkpoint.
 	runningSince time.Time
 	resumed      bool
+	// cold means that the worker was cold when the start was confirmed or at a report of the run since, so that its run time tells
+	// neither the work nor the speed.
+	cold bool
 	// estimate is the estimated work at the placement; nil if unknown.
 	estimate *estimator.Estimate
 	// awaitUntil is when the run is stopped if capacity that it uses is still claimed then; zero if no claim waits for it.
 	awaitUntil time.Time
-	// awaits means that the claim waits for such runs.
-	awaits  bool
+	// awaits are the runs for whose end the claim waits, and those of the other members of its gang.
+	awaits  []*place
 	percent int
 	// progressedAt is when the percentage last rose; firstProgressAt is when it first was above zero, at
 	// firstPercent.
@@ -67,7 +70,9 @@
 	cachedLabel string
 	index       int
 	done        bool
-	place       *place
+	// awaited means that a claim of the task has waited for a run since its latest start.
+	awaited bool
+	place   *place
 	// lastRun is the highest run number used so far.
 	lastRun int64
 	// failedRuns are the numbers of the failed runs; failures may be reported out of order and more than once.
