--- a/follower/evacuation_test.go
+++ b/follower/evacuation_test.go
@@ -84,3 +84,25 @@
 		w.expectZones(t, "after the removal")
 	})
 }
+
+// A change that falls into a loss of history is seen by a full read, which removes zones as well as adding them.
+func TestAFullReadReplacesTheEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.publish(1, 1)
+		w.evacuate("a")
+		go w.follower.Run(t.Context())
+		time.Sleep(time.Second)
+		w.rows.SetFaults(faker.RowFaults{Silent: true})
+		time.Sleep(3 * time.Second)
+		w.rows.Remove(platform.OperatorTable, platform.EvacuationPrefix+"a")
+		w.evacuate("b")
+		w.rows.Compact()
+		if age, known := w.follower.Age(); !known || age < 2*time.Second {
+			t.Errorf("age %s after 3 s without the store", age)
+		}
+		w.rows.SetFaults(faker.RowFaults{})
+		time.Sleep(applyLimit)
+		w.expectZones(t, "after the loss of history", "b")
+	})
+}
